--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,868 @@
+// The decisions of one dapplewharf node. Callers make one Choice a node and give it batches of events by
+// Choice::take (src/choice.h); events, actions and settings are the plain values of src/words.h.
+// Inside, Roster, Ring, Desk and one Host a host are small actors: each reads notes from its own inbox and
+// speaks to the others only by posting notes; Parts::settle empties the inboxes, always in the same order.
+#include "choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace dapplewharf {
+namespace {
+
+constexpr Tenths kMs = 10;
+constexpr Tenths kSecond = 1000 * kMs;
+constexpr Tenths kPulse =
+    100 * kMs;  // how often the parts look at the clock; well under every span they watch
+constexpr int kPulseAlarm = 1;
+constexpr int kBadRun = 3;  // design: bad results in a row that turn a signal bad
+constexpr int kGoodRun =
+    12;  // design: good results in a row that turn it good; also the samples a score looks at
+constexpr double kRamp[] = {0.05, 0.20, 0.50, 1.00};  // design: the climb of a return
+constexpr int kTop = 3;                               // the last step of the ramp
+constexpr Tenths kStep = kSecond;                     // least stay on a step: several probes in a hurry
+constexpr Tenths kFirstCooldown = 2 * kSecond;        // short: most troubles here are over in half a minute
+constexpr Tenths kLongestCooldown = 3600 * kSecond;   // the cap of the design's source
+constexpr Tenths kFlapMemory = 60 * kSecond;          // flaps older than this no longer lengthen the cooldown
+constexpr Tenths kProbeEvery = 1500 * kMs;            // steady probes
+constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
+constexpr int kPoints =
+    60;  // virtual points of a host of mean size at full weight: shares true to a few percent
+constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
+constexpr double kWellOver = 1.25;  // design: "well over" the mean
+constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
+constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
+constexpr Tenths kStrainHeld =
+    1500 * kMs;  // slow-message notes come once a second: one lost note is no relief
+
+double number(const Settings& settings, const std::string& name, double otherwise) {
+  const auto found = settings.find(name);
+  const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
+  return value ? *value : otherwise;
+}
+
+double needed(const Settings& settings, const std::string& name) {
+  const auto found = settings.find(name);
+  const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
+  if (!value) throw std::runtime_error("setting missing: " + name);
+  return *value;
+}
+
+std::string text(const Settings& settings, const std::string& name) {
+  const auto found = settings.find(name);
+  const std::string* value = found == settings.end() ? nullptr : std::get_if<std::string>(&found->second);
+  return value ? *value : std::string();
+}
+
+// PCG-XSH-RR: 64 bits of state, 32 of output.
+struct Chance {
+  std::uint64_t state;
+  explicit Chance(std::uint64_t seed) : state(seed + 1442695040888963407ULL) { next(); }
+  std::uint32_t next() {
+    const std::uint64_t old = state;
+    state = old * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+    const auto turn = static_cast<std::uint32_t>(old >> 59);
+    return (mixed >> turn) | (mixed << ((32 - turn) & 31));
+  }
+  double share() { return next() / 4294967296.0; }
+};
+
+std::uint64_t hash(std::uint64_t word) {  // the finaliser of SplitMix64
+  word += 0x9e3779b97f4a7c15ULL;
+  word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  word = (word ^ (word >> 27)) * 0x94d049bb133111ebULL;
+  return word ^ (word >> 31);
+}
+
+std::uint64_t hash(const std::string& word) {  // FNV-1a
+  std::uint64_t sum = 0xcbf29ce484222325ULL;
+  for (const char letter : word) sum = (sum ^ static_cast<unsigned char>(letter)) * 0x100000001b3ULL;
+  return hash(sum);
+}
+
+std::string figure(double value) {
+  std::string out = std::to_string(std::llround(value * 100) / 100.0);
+  return out.substr(0, out.find('.') + 3);
+}
+
+// What a host tells the others of itself.
+struct Card {
+  std::string zone;
+  std::int64_t cell = 0;
+  double size = 1;
+  double score = 100;
+  double weight = 1;      // score and ramp together
+  int open = 0;           // connections, with set-ups still out
+  bool healthy = false;   // listed and neither draining nor gone
+  bool strained = false;  // messages there are slow
+  bool refusing = false;  // it lately proved that it takes no connection
+  bool cold = false;
+};
+
+// What the roster tells everyone of the fleet.
+struct Fleet {
+  bool frozen = false;
+  double score = 100;  // mean of the others, where a new host starts
+  double bears = 0;    // open connections that a warm host of size 1 bears for this node
+};
+
+enum class Part { roster, ring, desk, host };
+enum class Topic { event, listed, unlisted, pulse, card, fleet, seek, route, offer, taken, passed, evict };
+
+struct Note {
+  Part to = Part::desk;
+  Topic topic = Topic::event;
+  std::string host;  // which host it goes to, or is about
+  Event event;       // the event that it hands on, if any; its id names the attachment
+  Listing listing;
+  Card card;
+  Fleet fleet;
+  std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
+  std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
+  int count = 0;
+  bool fresh = false;  // of a listing: new to a list that was known
+};
+
+struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
+  Settings settings;
+  Chance chance;
+  Tenths now;
+  std::deque<Note> post;
+  std::vector<Action> actions;
+  void act(ActionKind kind, const std::string& id, const std::string& host, int number = 0, Tenths time = 0) {
+    actions.push_back({kind, id, host, "", number, time});
+  }
+  Note& write(Part to, Topic topic,
+              const std::string& host = "") {  // posts a note; the caller fills in the rest
+    post.emplace_back();
+    post.back().to = to;
+    post.back().topic = topic;
+    post.back().host = host;
+    return post.back();
+  }
+  void log(std::string line) { actions.push_back({ActionKind::log, "", "", std::move(line), 0, 0}); }
+};
+
+// One of the two signals of a host: its last results, and whether a run has turned it.
+struct Signal {
+  std::deque<bool> results;
+  bool good = true;
+  int run = 0;  // results in a row like the last
+
+  // Returns true when the signal turns.
+  bool add(bool result) {
+    run = !results.empty() && results.back() == result ? run + 1 : 1;
+    results.push_back(result);
+    if (results.size() > kGoodRun) results.pop_front();
+    if (good != result && run >= (result ? kGoodRun : kBadRun)) {
+      good = result;
+      return true;
+    }
+    return false;
+  }
+  double share() const {
+    if (results.empty()) return 1;
+    return static_cast<double>(std::count(results.begin(), results.end(), true)) / results.size();
+  }
+  bool in_doubt() const { return !good || (!results.empty() && !results.back()); }
+};
+
+class Host {
+ public:
+  std::deque<Note> inbox;
+
+  Host(Surroundings& around, std::string id) : around_(around), id_(std::move(id)) {
+    next_probe_ = around_.now + static_cast<Tenths>(around_.chance.share() * kProbeEvery);
+  }
+
+  void read(const Note& note) {
+    switch (note.topic) {
+      case Topic::listed: listed(note.listing, note.fresh); break;
+      case Topic::unlisted: leaves(HostState::gone); break;
+      case Topic::pulse: pulse(); break;
+      case Topic::fleet: fleet_ = note.fleet; break;
+      case Topic::offer: offered(note); break;
+      case Topic::event: happened(note.event); break;
+      default: return;
+    }
+    tell();
+  }
+
+ private:
+  void listed(const Listing& listing, bool fresh) {
+    const bool restarted = listing.started > started_ && known_;
+    card_.zone = listing.zone;
+    card_.cell = listing.cell;
+    card_.size = listing.size > 0 ? listing.size : 1;
+    started_ = listing.started;
+    if (listing.state != HostState::healthy) return leaves(listing.state);
+    state_ = HostState::healthy;
+    if (fresh || restarted || cold()) {  // danger: a cold host at full weight falls over
+      step_ = 0;
+      step_since_ = around_.now;
+      probes_ = setups_ = Signal();
+      inherited_ = known_ ? 100 : fleet_.score;
+      around_.log("host " + id_ + " starts cold, age ms " + std::to_string((around_.now - started_) / kMs));
+    }
+    known_ = true;
+  }
+
+  void leaves(HostState state) {
+    if (state_ == HostState::healthy) left_at_ = around_.now;
+    state_ = state;
+  }
+
+  Tenths age() const {
+    return started_ > 0 ? around_.now - started_ : number(around_.settings, "cold_time", 0);
+  }
+  bool cold() const { return age() < needed(around_.settings, "cold_time"); }
+
+  // The one place that decides whether this host may be sent this attachment.
+  bool may_be_sent(const Event& attachment) const {
+    if (state_ != HostState::healthy) {
+      // A mid-flow connection may be held here; without proof of that only the grace allows it.
+      const bool in_grace = around_.now - left_at_ < needed(around_.settings, "drain_grace") - kPulse;
+      return state_ == HostState::draining && attachment.mid_flow && in_grace;
+    }
+    return !cold() || cold_sent() + 1 <= cold_budget();
+  }
+
+  // Danger: all nodes together push a cold host over. Each node keeps to its own part of what the host can
+  // surely do: warm hosts bear `bears` of this node's connections, and a cold one can fill up to that no
+  // faster than over its warm-up. Half of the multiple is left for chance and for unequal loads.
+  double cold_budget() const {
+    const double from = needed(around_.settings, "cold_from"), span = needed(around_.settings, "cold_time");
+    const double window = needed(around_.settings, "fall_time");
+    const double capacity = from + (1 - from) * std::clamp(age() / std::max(span, 1.0), 0.0, 1.0);
+    const double multiple = std::max(1.0, needed(around_.settings, "fall_multiple") / 2);
+    return std::max(1.0, multiple * capacity * fleet_.bears * card_.size * window / std::max(span, 1.0));
+  }
+
+  // A budget under one is kept by looking back over several windows.
+  double cold_sent() const {
+    const Tenths window = static_cast<Tenths>(needed(around_.settings, "fall_time"));
+    const Tenths back = window * static_cast<Tenths>(std::max(1.0, number(around_.settings, "nodes", 1)));
+    double sum = 0;
+    const bool scarce = cold_budget() < 2;
+    for (const auto& [when, work] : sent_)
+      if (around_.now - when < (scarce ? back : window)) sum += work;
+    return sum;
+  }
+
+  void sends(double work) {
+    sent_.emplace_back(around_.now, work);
+    while (sent_.size() > 400) sent_.pop_front();
+  }
+
+  void offered(const Note& note) {
+    const bool may = may_be_sent(note.event);
+    Note& answer = around_.write(Part::desk, may ? Topic::taken : Topic::passed, id_);
+    answer.event = note.event;
+    answer.hosts = note.hosts;
+    if (!may) return;
+    sends(1);
+    ++card_.open;
+  }
+
+  void happened(const Event& event) {
+    switch (event.kind) {
+      case EventKind::handed_over: ++card_.open; break;
+      case EventKind::established:
+        refusals_ = 0;
+        result(setups_, event.took <= event.expiry);  // the desk puts the longest good set-up time there
+        break;
+      case EventKind::try_ended: ended(event); break;
+      case EventKind::delay_told: delayed(event.figure); break;
+      case EventKind::probe_ended:
+        probe_out_ = false;
+        result(probes_, event.outcome == Outcome::honoured);
+        // A quiet node sees few set-ups: while that signal is bad, good probes count for its run as well.
+        if (event.outcome == Outcome::honoured && !setups_.good) result(setups_, true);
+        break;
+      default: break;
+    }
+  }
+
+  void ended(const Event& event) {
+    card_.open = std::max(0, card_.open - 1);
+    switch (event.outcome) {
+      case Outcome::honoured:
+      case Outcome::cancelled:
+      case Outcome::not_sent: return;  // says nothing of the host
+      case Outcome::no_connection:
+      case Outcome::turned_away: ++refusals_; break;
+      default: break;
+    }
+    result(setups_, false);
+  }
+
+  void delayed(double delay) {
+    if (delay > 0) strained_at_ = around_.now;
+  }
+
+  void result(Signal& signal, bool good) {
+    const bool turned = signal.add(good);
+    if (!good) next_probe_ = std::min(next_probe_, around_.now + kProbeHurry / 2);
+    if (turned) {
+      around_.log("host " + id_ + (&signal == &probes_ ? " probes " : " set-ups ") + (good ? "good" : "bad") +
+                  ", share good " + figure(signal.share()) + ", score " + figure(score()));
+      if (!good) falls();
+    } else if (!good && step_ < kTop && signal.good) {
+      step_ = 0;  // each step is gated on the score holding
+      step_since_ = around_.now;
+    }
+  }
+
+  void falls() {
+    std::erase_if(flaps_, [this](Tenths when) { return around_.now - when > kFlapMemory; });
+    Tenths cooldown = kFirstCooldown;
+    for (std::size_t i = 0; i < flaps_.size() && cooldown < kLongestCooldown; ++i) cooldown *= 2;
+    flaps_.push_back(around_.now);
+    step_ = 0;
+    step_since_ = around_.now + std::min(cooldown, kLongestCooldown);  // the climb starts after the cooldown
+  }
+
+  // Full only with both signals healthy: the mean of both shares, less half of their difference.
+  double score() const {
+    if (!probes_.good && !setups_.good) return 0;
+    const double probes = probes_.share(), setups = setups_.share();
+    double score = 100 * ((probes + setups) / 2 - std::abs(probes - setups) / 2);
+    if (!probes_.good || !setups_.good) score = std::min(score, 50.0);
+    return std::min(score, inherited_);
+  }
+
+  void pulse() {
+    climb();
+    probe();
+  }
+
+  void climb() {
+    if (step_ >= kTop || around_.now < step_since_) return;
+    const Tenths stay =
+        cold()
+            ? std::max<Tenths>(kStep, static_cast<Tenths>(needed(around_.settings, "cold_time") / (kTop + 1)))
+            : kStep;
+    if (around_.now - step_since_ < stay || probes_.in_doubt() || setups_.in_doubt()) return;
+    ++step_;
+    step_since_ = around_.now;
+    inherited_ = 100;
+    around_.log("host " + id_ + " climbs to " + figure(kRamp[step_]) + ", score " + figure(score()));
+  }
+
+  void probe() {
+    if (number(around_.settings, "probes_allowed", 0) == 0 || state_ != HostState::healthy) return;
+    if (probe_out_ || around_.now < next_probe_) return;
+    const bool hurry = probes_.in_doubt() || setups_.in_doubt();
+    probe_out_ = true;
+    next_probe_ = around_.now + (hurry ? kProbeHurry : kProbeEvery);
+    sends(kProbeWork);
+    around_.act(ActionKind::probe, "", id_);
+  }
+
+  void tell() {
+    const double score = this->score();
+    card_.score = score;
+    card_.weight = score / 100 * kRamp[step_];
+    card_.healthy = state_ == HostState::healthy;
+    card_.strained = strained_at_ > 0 && around_.now - strained_at_ < kStrainHeld;
+    card_.refusing = refusals_ >= 2;
+    card_.cold = cold();
+    for (const Part to : {Part::roster, Part::ring}) around_.write(to, Topic::card, id_).card = card_;
+  }
+
+  Surroundings& around_;
+  std::string id_;
+  Card card_;
+  Fleet fleet_;
+  HostState state_ = HostState::gone;
+  bool known_ = false, probe_out_ = false;
+  Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0;
+  Signal probes_, setups_;
+  int step_ = kTop, refusals_ = 0;
+  double inherited_ = 100;  // a new host starts at the others' mean
+  std::deque<Tenths> flaps_;
+  std::deque<std::pair<Tenths, double>> sent_;
+};
+
+// Follows the list and says when the weights are frozen.
+class Roster {
+ public:
+  std::deque<Note> inbox;
+  explicit Roster(Surroundings& around) : around_(around) {}
+
+  void read(const Note& note) {
+    if (note.topic == Topic::card) cards_[note.host] = note.card;
+    if (note.topic == Topic::pulse) pulse();
+    if (note.topic == Topic::event) list(note.event);
+  }
+
+ private:
+  bool asked_for() const { return text(around_.settings, "discovery") == "on_request"; }
+
+  void list(const Event& event) {
+    if (event.kind == EventKind::list_lost) {
+      ++losses_;
+      subscribed_ = false;
+      if (lost_at_ == 0) lost_at_ = around_.now;
+      const double wait = std::min(500.0 * (1 << std::min(losses_, 4)), 4000.0) * kMs;
+      ask_at_ = around_.now + static_cast<Tenths>(wait * (0.5 + around_.chance.share() / 2));
+      return;
+    }
+    if (event.kind != EventKind::list_copy) {
+      losses_ = 0;
+      lost_at_ = 0;
+    }
+    std::set<std::string> named;
+    for (const Listing& listing : event.listings) {
+      named.insert(listing.host);
+      Note& note = around_.write(Part::host, Topic::listed, listing.host);
+      note.listing = listing;
+      note.fresh = started_ && !listed_.count(listing.host);
+    }
+    if (event.kind != EventKind::list_changes)
+      for (const std::string& host : listed_)
+        if (!named.count(host)) around_.write(Part::host, Topic::unlisted, host);
+    listed_.insert(named.begin(), named.end());
+    if (!started_ && asked_for()) ask();
+    started_ = true;
+  }
+
+  void ask() {
+    subscribed_ = true;
+    around_.act(ActionKind::subscribe, "", "");
+  }
+
+  void pulse() {
+    if (asked_for() && started_ && !subscribed_ && around_.now >= ask_at_) ask();
+    Fleet fleet;
+    double scores = 0, open = 0, size = 0;
+    int hosts = 0, degraded = 0;
+    for (const auto& [id, card] : cards_) {
+      if (!card.healthy) continue;
+      ++hosts;
+      scores += card.score;
+      if (card.score < 75 && !card.cold) ++degraded;
+      if (!card.cold && card.weight > 0.5) {
+        open += card.open;
+        size += card.size;
+      }
+    }
+    if (hosts > 0) fleet.score = scores / hosts;
+    if (size > 0) fleet.bears = open / size;
+    // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
+    // it; when the list is silent this node's view may be the only one that is wrong.
+    const bool silent = lost_at_ > 0 && around_.now - lost_at_ > 3 * kSecond;
+    fleet.frozen = degraded * 2 > hosts || silent;
+    if (fleet.frozen != frozen_)
+      around_.log(std::string("weights ") + (fleet.frozen ? "frozen" : "free") + ", degraded " +
+                  std::to_string(degraded) + " of " + std::to_string(hosts) +
+                  (silent ? ", list silent" : ""));
+    frozen_ = fleet.frozen;
+    for (const auto& [id, card] : cards_) around_.write(Part::host, Topic::fleet, id).fleet = fleet;
+    around_.write(Part::ring, Topic::fleet).fleet = fleet;
+    around_.write(Part::desk, Topic::fleet).fleet = fleet;
+  }
+
+  Surroundings& around_;
+  std::map<std::string, Card> cards_;
+  std::set<std::string> listed_;
+  bool started_ = false, subscribed_ = false, frozen_ = false;
+  int losses_ = 0;
+  Tenths lost_at_ = 0, ask_at_ = 0;
+};
+
+// The consistent hash ring: says in which order hosts are asked to take an attachment.
+class Ring {
+ public:
+  std::deque<Note> inbox;
+  explicit Ring(Surroundings& around) : around_(around) {}
+
+  void read(const Note& note) {
+    if (note.topic == Topic::fleet) frozen_ = note.fleet.frozen;
+    if (note.topic == Topic::seek) answer(note);
+    if (note.topic != Topic::card) return;
+    const auto found = cards_.find(note.host);
+    const double weight = found == cards_.end() || !frozen_ ? note.card.weight : found->second.weight;
+    if (found == cards_.end() || found->second.size != note.card.size) stale_ = true;
+    cards_[note.host] = note.card;
+    cards_[note.host].weight = weight;  // frozen: the weight stays, all else is kept up
+  }
+
+ private:
+  struct Point {
+    std::uint64_t at;
+    std::string host;
+    int number;
+    bool operator<(const Point& other) const { return std::tie(at, host) < std::tie(other.at, other.host); }
+  };
+
+  int points_of(const Card& card) const {
+    return std::max(1, static_cast<int>(std::lround(kPoints * card.size)));
+  }
+
+  void lay() {
+    stale_ = false;
+    points_.clear();
+    for (const auto& [id, card] : cards_)
+      for (int i = 0; i < points_of(card); ++i)
+        points_.push_back({hash(hash(id) + static_cast<unsigned>(i)), id, i});
+    std::sort(points_.begin(), points_.end());
+  }
+
+  // The client key; where none comes the group stands in (it keeps connections that share work together),
+  // and without either the attachment's own id.
+  static std::uint64_t key_of(const Event& event) {
+    if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
+    if (event.group) return hash(static_cast<std::uint64_t>(*event.group));
+    return hash(event.id);
+  }
+
+  void answer(const Note& seek) {
+    if (stale_) lay();
+    const std::string zone = text(around_.settings, "zone");
+    double open = 0, size = 0;
+    for (const auto& [id, card] : cards_)
+      if (card.healthy && card.zone == zone && card.weight > 0.5) open += card.open, size += card.size;
+    std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
+    std::set<std::string> seen;
+    const std::uint64_t key = key_of(seek.event);
+    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key, "", 0});
+    for (std::size_t i = 0; i < points_.size(); ++i, ++at) {
+      if (at == points_.end()) at = points_.begin();
+      const Card& card = cards_[at->host];
+      const double weight = seek.event.mid_flow ? 1 : card.weight;
+      if (at->number >= std::lround(weight * points_of(card)) || seen.count(at->host)) continue;
+      if (!seek.host.empty() && !drops_repeats(seek, card)) continue;
+      seen.insert(at->host);
+      ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0), at->host);
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    Note& route = around_.write(Part::desk, Topic::route);
+    route.event = seek.event;
+    for (auto& [rank, id] : ranked) route.hosts.push_back(std::move(id));
+  }
+
+  // Danger: a repeat outside the group that knows the mark takes effect a second time.
+  bool drops_repeats(const Note& seek, const Card& card) const {
+    const auto first = cards_.find(seek.host);
+    if (seek.within == "all" || first == cards_.end()) return seek.within == "all";
+    return seek.within == "zone" ? card.zone == first->second.zone : card.cell == first->second.cell;
+  }
+
+  // Lower is asked earlier; within one rank the ring decides.
+  int rank(const Note& seek, const std::string& id, const Card& card, double mean) const {
+    if (std::count(seek.hosts.begin(), seek.hosts.end(), id))
+      return 9;  // it has failed this attachment already
+    if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
+    if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
+    const bool near = card.zone == text(around_.settings, "zone");
+    const double share = mean * card.size;
+    const bool over = card.open + 1 >= share + kOverBy && card.open + 1 > share * kWellOver;
+    if (card.strained) return near ? 3 : 4;
+    if (near) return over ? 1 : 0;
+    return 2;
+  }
+
+  Surroundings& around_;
+  std::map<std::string, Card> cards_;
+  std::vector<Point> points_;
+  bool stale_ = true, frozen_ = false;
+};
+
+// Holds the attachments: their tries, their expiry and their one final answer.
+class Desk {
+ public:
+  std::deque<Note> inbox;
+  explicit Desk(Surroundings& around) : around_(around) {
+    for (int i = 0;; ++i) {
+      const std::string name = "traffic." + std::to_string(i) + ".";
+      if (!around_.settings.count(name + "name")) break;
+      traffic_[text(around_.settings, name + "name")] = name;
+    }
+  }
+
+  void read(const Note& note) {
+    switch (note.topic) {
+      case Topic::event: happened(note.event); break;
+      case Topic::route: ask(note.event.id, note.hosts); break;
+      case Topic::passed: ask(note.event.id, note.hosts); break;
+      case Topic::taken: send(note.event.id, note.host); break;
+      default: return;
+    }
+    forget(note.event.id);
+  }
+
+ private:
+  struct Try {
+    std::string host, zone;
+    Tenths sent = 0;
+    bool out = true;  // its result has not come
+    bool may_have_run = true;
+  };
+  struct Attachment {
+    Event event;
+    std::string effect, group;
+    std::vector<Try> tries;
+    bool standing = false;  // the connection is open
+    bool answered = false;  // ended; kept until its last try's result has come
+  };
+
+  void forget(const std::string& id) {
+    const auto found = held_.find(id);
+    if (found == held_.end() || !found->second.answered) return;
+    for (const Try& made : found->second.tries)
+      if (made.out) return;
+    held_.erase(found);
+  }
+
+  static bool proves_never_ran(Outcome outcome) {
+    return outcome == Outcome::turned_away || outcome == Outcome::no_connection ||
+           outcome == Outcome::not_sent;
+  }
+
+  double of_type(const Attachment& held, const std::string& name, double otherwise) const {
+    const auto found = traffic_.find(held.event.traffic_type);
+    return found == traffic_.end() ? otherwise : number(around_.settings, found->second + name, otherwise);
+  }
+
+  void happened(const Event& event) {
+    if (event.kind == EventKind::attachment || event.kind == EventKind::handed_over) return arrives(event);
+    const auto found = held_.find(event.id);
+    if (found == held_.end()) return;
+    Attachment& held = found->second;
+    switch (event.kind) {
+      case EventKind::established: stands(held, event); break;
+      case EventKind::try_ended: ended(held, event); break;
+      case EventKind::client_left: held.answered = true; break;
+      case EventKind::delay_told: tell_host(event, event.host); break;
+      default: break;
+    }
+  }
+
+  void tell_host(const Event& event, const std::string& host) {
+    around_.write(Part::host, Topic::event, host).event = event;
+  }
+
+  void arrives(const Event& event) {
+    Attachment held;
+    held.event = event;
+    const auto found = traffic_.find(event.traffic_type);
+    held.effect = found == traffic_.end() ? "unrepeatable" : text(around_.settings, found->second + "effect");
+    held.group = found == traffic_.end() ? "" : text(around_.settings, found->second + "repeat_group");
+    if (event.kind == EventKind::handed_over) {
+      held.standing = true;
+      held.tries.push_back({event.host, "", around_.now, true, true});
+      tell_host(event, event.host);
+    }
+    held_[event.id] = held;
+    if (event.kind == EventKind::attachment) seek(held_[event.id]);
+  }
+
+  void stands(Attachment& held, const Event& event) {
+    held.standing = true;
+    times_.push_back(event.took);
+    if (times_.size() > kTimes) times_.pop_front();
+    Event told = event;
+    told.expiry =
+        static_cast<Tenths>(of_type(held, "latency_goal", 0) / 2);  // slower than this is a bad set-up
+    tell_host(told, event.host);
+  }
+
+  void ended(Attachment& held, const Event& event) {
+    if (event.number < 0 || event.number >= static_cast<int>(held.tries.size())) return;
+    Try& last = held.tries[static_cast<std::size_t>(event.number)];
+    if (!last.out) return;
+    last.out = false;
+    last.may_have_run = !proves_never_ran(event.outcome);
+    tell_host(event, last.host);
+    if (event.final || held.standing) held.answered = true;
+    if (!held.answered) seek(held);
+  }
+
+  // The one place that decides whether an attachment may have another setup try.
+  bool may_be_tried_again(const Attachment& held) const {
+    if (held.answered || held.standing || around_.now >= held.event.expiry) return false;
+    if (static_cast<double>(held.tries.size()) >= number(around_.settings, "max_tries", 1)) return false;
+    for (const Try& earlier : held.tries) {
+      if (earlier.out)
+        return false;  // danger: two tries out, and a cancelled one is out until its result has come
+      if (!earlier.may_have_run || held.effect == "idempotent") continue;
+      if (held.effect != "deduplicated") return false;  // danger: an unrepeatable effect happens twice
+      if (around_.now - earlier.sent >= of_type(held, "repeat_window", 0)) return false;
+    }
+    return true;
+  }
+
+  // The one place that decides whether an attachment may be rejected: a rejection says that a repeat is
+  // harmless.
+  bool may_be_rejected(const Attachment& held) const {
+    if (held.effect == "idempotent") return true;
+    for (const Try& earlier : held.tries)
+      if ((earlier.out || earlier.may_have_run) && !(held.effect == "deduplicated" && held.group == "all"))
+        return false;
+    return true;
+  }
+
+  void seek(Attachment& held) {
+    if (!may_be_tried_again(held)) return give_up(held);
+    Note& note = around_.write(Part::ring, Topic::seek);
+    note.event = held.event;
+    for (const Try& earlier : held.tries) {
+      note.hosts.push_back(earlier.host);
+      if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
+    }
+    note.within = held.group;
+  }
+
+  // Asks the next host of a route; each host answers with a note of its own.
+  void ask(const std::string& id, std::vector<std::string> hosts) {
+    const auto found = held_.find(id);
+    if (found == held_.end() || found->second.answered) return;
+    if (hosts.empty()) return give_up(found->second);
+    Note& note = around_.write(Part::host, Topic::offer, hosts.front());
+    note.event = found->second.event;
+    note.hosts.assign(hosts.begin() + 1, hosts.end());
+  }
+
+  void send(const std::string& id, const std::string& host) {
+    Attachment& held = held_[id];
+    held.tries.push_back({host, "", around_.now, true, true});
+    around_.act(ActionKind::setup_try, id, host, 0, time_out(held));
+  }
+
+  // A try that hangs must leave time for another within the latency goal; the last one may use all that is
+  // left.
+  Tenths time_out(const Attachment& held) const {
+    const Tenths left = held.event.expiry - around_.now;
+    if (static_cast<double>(held.tries.size()) >= number(around_.settings, "max_tries", 1)) return left;
+    if (held.effect == "unrepeatable" || held.event.mid_flow) return left;
+    std::vector<Tenths> sorted(times_.begin(), times_.end());
+    std::sort(sorted.begin(), sorted.end());
+    const Tenths usual = sorted.empty() ? 0 : sorted[sorted.size() * 9 / 10];
+    const auto goal = static_cast<Tenths>(of_type(held, "latency_goal", static_cast<double>(left)));
+    return std::clamp<Tenths>(std::max(goal / 3, 3 * usual), 1, std::max<Tenths>(left, 1));
+  }
+
+  void give_up(Attachment& held) {
+    if (held.answered) return;
+    const std::string id = held.event.id;
+    held.answered = true;
+    if (may_be_rejected(held)) {
+      Tenths back = 0;
+      if (number(around_.settings, "come_back_told", 0) != 0)  // danger: a rejected crowd comes back in step
+        back = static_cast<Tenths>(number(around_.settings, "max_come_back", 0) *
+                                   (0.2 + 0.8 * around_.chance.share()));
+      around_.act(ActionKind::reject, id, "", 0, back);
+    } else {
+      around_.act(ActionKind::scrap, id, "");
+    }
+    if (std::none_of(held.tries.begin(), held.tries.end(), [](const Try& t) { return t.out; }))
+      held_.erase(id);
+  }
+
+  Surroundings& around_;
+  std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
+  std::map<std::string, Attachment> held_;
+  std::deque<Tenths> times_;
+};
+
+}  // namespace
+
+struct Choice::Parts {
+  Surroundings around;
+  Roster roster;
+  Ring ring;
+  Desk desk;
+  std::map<std::string, Host> hosts;
+
+  Parts(Settings settings, std::uint64_t seed, Tenths now)
+      : around{std::move(settings), Chance(seed), now, {}, {}}, roster(around), ring(around), desk(around) {
+    for (const char* rule : {"cold_from", "cold_time", "fall_time", "fall_multiple", "drain_grace"})
+      needed(around.settings, rule);
+    around.act(ActionKind::set_alarm, "", "", kPulseAlarm, kPulse);
+  }
+
+  void post(Part to, Topic topic, const Event& event, const std::string& host = "") {
+    around.write(to, topic, host).event = event;
+  }
+
+  void deliver(const Event& event) {
+    switch (event.kind) {
+      case EventKind::list_copy:
+      case EventKind::list_whole:
+      case EventKind::list_changes:
+      case EventKind::list_lost: post(Part::roster, Topic::event, event); break;
+      case EventKind::probe_ended: post(Part::host, Topic::event, event, event.host); break;
+      case EventKind::peer_word: break;
+      case EventKind::alarm:
+        if (event.number != kPulseAlarm) break;
+        around.act(ActionKind::set_alarm, "", "", kPulseAlarm, kPulse);
+        post(Part::roster, Topic::pulse, event);
+        post(Part::desk, Topic::pulse, event);
+        for (const auto& [id, host] : hosts) post(Part::host, Topic::pulse, event, id);
+        break;
+      default: post(Part::desk, Topic::event, event); break;
+    }
+    settle();
+  }
+
+  template <class Actor>
+  bool empty(Actor& actor) {
+    const bool any = !actor.inbox.empty();
+    while (!actor.inbox.empty()) {
+      const Note note = std::move(actor.inbox.front());
+      actor.inbox.pop_front();
+      actor.read(note);
+    }
+    return any;
+  }
+
+  void sort_post() {
+    while (!around.post.empty()) {
+      Note note = std::move(around.post.front());
+      around.post.pop_front();
+      if (note.to == Part::roster) roster.inbox.push_back(std::move(note));
+      else if (note.to == Part::ring) ring.inbox.push_back(std::move(note));
+      else if (note.to == Part::desk) desk.inbox.push_back(std::move(note));
+      else {
+        auto found = hosts.find(note.host);
+        if (found == hosts.end() && note.topic == Topic::listed)
+          found = hosts.try_emplace(note.host, around, note.host).first;
+        if (found != hosts.end()) found->second.inbox.push_back(std::move(note));
+      }
+    }
+  }
+
+  // The one loop: empties the inboxes, always in the same order, until no note is left.
+  void settle() {
+    for (bool any = true; any;) {
+      sort_post();
+      any = empty(roster);
+      for (auto& [id, host] : hosts) any = empty(host) || any;
+      sort_post();
+      any = empty(ring) || any;
+      any = empty(desk) || any;
+      any = any || !around.post.empty();
+    }
+  }
+};
+
+Choice::Choice(Settings settings, std::uint64_t seed, Tenths now)
+    : parts_(std::make_unique<Parts>(std::move(settings), seed, now)) {}
+Choice::~Choice() = default;
+Choice::Choice(Choice&&) noexcept = default;
+Choice& Choice::operator=(Choice&&) noexcept = default;
+
+std::vector<Action> Choice::take(Tenths now, const std::vector<Event>& events) {
+  parts_->around.now = std::max(now, parts_->around.now);
+  for (const Event& event : events) parts_->deliver(event);
+  return std::exchange(parts_->around.actions, {});
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/choice.h
@@ -0,0 +1,26 @@
+// The interface of the decision module. One Choice is one node: it shares nothing with any other.
+// Give it the settings and a seed once, then each batch of events with the clock; it answers with actions in
+// order. Events, actions and settings are plain values defined in src/words.h.
+#pragma once
+#include <memory>
+
+#include "words.h"
+
+namespace dapplewharf {
+
+class Choice {
+ public:
+  Choice(Settings settings, std::uint64_t seed, Tenths now);
+  ~Choice();
+  Choice(Choice&&) noexcept;
+  Choice& operator=(Choice&&) noexcept;
+
+  // Throws std::runtime_error naming a setting that a rule needs and that is missing.
+  std::vector<Action> take(Tenths now, const std::vector<Event>& events);
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/words.h
@@ -0,0 +1,85 @@
+// The words that pass between the decision module and its callers: plain values, no decisions.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dapplewharf {
+
+using Tenths = std::int64_t;  // a time or a span, in whole tenths of a millisecond
+
+// The settings: names to values. Lists are spelt "traffic.0.name", "traffic.1.name" and so on. Times are
+// tenths.
+using Settings = std::map<std::string, std::variant<double, std::string>>;
+
+enum class HostState { healthy, draining, gone };
+
+struct Listing {
+  std::string host, zone;
+  std::int64_t cell = 0;
+  HostState state = HostState::healthy;
+  double size = 1;
+  Tenths started = 0;  // 0: long ago
+};
+
+// How a setup try or a probe ended.
+enum class Outcome { honoured, error, turned_away, no_answer, no_connection, lost, cancelled, not_sent };
+
+enum class EventKind {
+  list_copy,     // the list as this node last held it
+  list_whole,    // the complete list
+  list_changes,  // the entries that changed
+  list_lost,     // an inquiry failed or the subscription broke
+  attachment,    // a client wants a connection
+  handed_over,   // a connection that was open when the node started
+  established,   // a setup try stands
+  load_told,     // a connection's load has changed
+  delay_told,    // messages at a host take this long
+  try_ended,     // a setup try, or the connection it became, has ended
+  client_left,   // the client went away
+  alarm,
+  probe_ended,
+  peer_word
+};
+
+struct Event {
+  EventKind kind = EventKind::alarm;
+  std::string id;                          // attachment
+  std::string host;                        // host
+  std::string traffic_type, tenant;        // of an attachment
+  std::optional<std::int64_t> key, group;  // the client key; the group that shares work
+  Tenths expiry = 0;                       // when the client gives up
+  bool mid_flow = false, returned = false, repeated = false;
+  int number = 0;  // of the setup try, or of the alarm
+  Outcome outcome = Outcome::honoured;
+  Tenths took = 0;
+  bool final = false;
+  double figure = 0;  // the load in microseconds of work a second, or the delay in tenths
+  std::vector<Listing> listings;
+  std::vector<double> report;
+};
+
+enum class ActionKind {
+  setup_try,   // id, host, time: its time-out
+  cancel_try,  // id, number
+  reject,      // id, time: when to come back
+  scrap,       // id
+  move,        // id
+  probe,       // host
+  set_alarm,   // number, time: from now
+  subscribe,
+  fetch_list,
+  log  // text
+};
+
+struct Action {
+  ActionKind kind = ActionKind::log;
+  std::string id, host, text;
+  int number = 0;
+  Tenths time = 0;
+};
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/tests/stories.cpp
@@ -0,0 +1,195 @@
+// Short stories of failures met or feared, each told to one node of the module with a fake fleet.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "helper.h"
+
+using namespace dapplewharf;
+
+TEST(FinalAnswers, AFailedTryGoesToAnotherHostAndTheLastIsRejectedAtOnce) {
+  Fake fake;
+  fake.start(6);
+  fake.arrive("a");
+  for (int i = 0; i < 3; ++i) fake.end("a", Outcome::error);
+  EXPECT_EQ(std::set<std::string>(fake.tries["a"].begin(), fake.tries["a"].end()).size(), 4u);
+  fake.end("a", Outcome::error);
+  EXPECT_TRUE(fake.said(ActionKind::reject, "a"));
+  EXPECT_GT(fake.last.back().time, 0);
+}
+
+TEST(FinalAnswers, NothingFollowsTheEnd) {
+  Fake fake;
+  fake.start(3);
+  fake.arrive("a");
+  Event left;
+  left.kind = EventKind::client_left;
+  left.id = "a";
+  fake.tell(left);
+  fake.end("a", Outcome::cancelled, true);
+  EXPECT_TRUE(fake.last.empty());
+  fake.tell(left);
+  fake.end("a", Outcome::error);
+  EXPECT_TRUE(fake.last.empty());
+}
+
+TEST(FinalAnswers, WithoutAnyHostTheClientIsToldWhenToComeBack) {
+  Fake fake;
+  fake.start(0);
+  fake.arrive("a");
+  ASSERT_TRUE(fake.said(ActionKind::reject, "a"));
+  const Tenths first = fake.last.back().time;
+  fake.arrive("b");
+  EXPECT_NE(first, fake.last.back().time) << "a crowd told the same time returns in step";
+}
+
+TEST(FinalAnswers, ATimeOutAtTheExpiryIsAnsweredAtOnce) {
+  Fake fake;
+  fake.start(3);
+  fake.arrive("a");
+  fake.now += 30000;
+  fake.end("a", Outcome::no_answer);
+  EXPECT_TRUE(fake.said(ActionKind::reject, "a"));
+}
+
+TEST(Effects, AnUnrepeatableThatMayHaveRunIsScrapped) {
+  for (const Outcome outcome : {Outcome::error, Outcome::no_answer, Outcome::lost, Outcome::cancelled}) {
+    Fake fake;
+    fake.start(6);
+    fake.arrive("a", 1, "once");
+    fake.end("a", outcome);
+    EXPECT_EQ(fake.tries["a"].size(), 1u);
+    EXPECT_TRUE(fake.said(ActionKind::scrap, "a"));
+  }
+}
+
+TEST(Effects, AnUnrepeatableThatNeverRanIsTriedAgain) {
+  for (const Outcome outcome : {Outcome::turned_away, Outcome::no_connection, Outcome::not_sent}) {
+    Fake fake;
+    fake.start(6);
+    fake.arrive("a", 1, "once");
+    fake.end("a", outcome);
+    EXPECT_EQ(fake.tries["a"].size(), 2u);
+  }
+}
+
+TEST(Effects, ADeduplicatedStaysInTheZoneThatDropsItsRepeatsAndInTheWindow) {
+  Fake fake;
+  fake.start(3);
+  for (int i = 0; i < 3; ++i) fake.list(Fake::listing("far" + std::to_string(i), "far"), HostState::healthy);
+  const std::string first = fake.arrive("a", 1, "marked");
+  fake.end("a", Outcome::no_answer);
+  ASSERT_EQ(fake.tries["a"].size(), 2u);
+  EXPECT_EQ(fake.tries["a"][1][0], first[0]);
+  fake.now += 6000;
+  fake.end("a", Outcome::no_answer);
+  EXPECT_TRUE(fake.said(ActionKind::scrap, "a"));
+}
+
+TEST(Drains, EveryWayOutOfTheListStopsNewWorkAtOnce) {
+  for (const HostState state : {HostState::draining, HostState::gone}) {
+    Fake fake;
+    fake.start(2);
+    fake.list(Fake::listing("h0"), state);
+    for (int i = 0; i < 40; ++i) EXPECT_EQ(fake.arrive("a" + std::to_string(i), i), "h1");
+  }
+  Fake fake;
+  fake.start(2);
+  Event whole;
+  whole.kind = EventKind::list_whole;
+  whole.listings.push_back(Fake::listing("h1"));
+  fake.tell(whole);
+  for (int i = 0; i < 40; ++i) EXPECT_EQ(fake.arrive("a" + std::to_string(i), i), "h1");
+}
+
+TEST(Drains, AMidFlowArrivalMayReachADrainingHostOnlyWithinTheGrace) {
+  Fake fake;
+  fake.start(1);
+  fake.list(Fake::listing("h0"), HostState::draining);
+  EXPECT_EQ(fake.arrive("a", 1, "plain", true), "h0");
+  fake.now += 10000;
+  EXPECT_EQ(fake.arrive("b", 1, "plain", true), "");
+}
+
+TEST(Cold, ACrowdDoesNotPushOverTheOnlyHostLeft) {
+  Fake fake;
+  fake.start(1);
+  fake.list(Fake::listing("h0", "near", fake.now), HostState::healthy);
+  int sent = 0;
+  for (int i = 0; i < 50; ++i) sent += fake.arrive("a" + std::to_string(i), i).empty() ? 0 : 1;
+  EXPECT_GE(sent, 1);
+  EXPECT_LE(sent, 2);
+  EXPECT_TRUE(fake.said(ActionKind::reject));
+}
+
+TEST(Ring, ASecondNodeMapsAlikeAndALossMovesOnlyItsOwnKeys) {
+  Fake one, two;
+  one.start(5, 1);
+  two.start(5, 2);
+  std::map<int, std::string> before;
+  for (int i = 0; i < 30; ++i) {
+    before[i] = one.arrive("a" + std::to_string(i), i);
+    one.end("a" + std::to_string(i), Outcome::honoured, true);
+    EXPECT_EQ(before[i], two.arrive("b" + std::to_string(i), i));
+    two.end("b" + std::to_string(i), Outcome::honoured, true);
+  }
+  one.list(Fake::listing("h2"), HostState::gone);
+  for (int i = 0; i < 30; ++i) {
+    const std::string after = one.arrive("c" + std::to_string(i), i);
+    one.end("c" + std::to_string(i), Outcome::honoured, true);
+    if (before[i] != "h2") { EXPECT_EQ(after, before[i]); }
+  }
+}
+
+TEST(Ring, AHostWellOverTheMeanIsPassed) {
+  Fake fake;
+  fake.start(3);
+  std::set<std::string> used;
+  for (int i = 0; i < 12; ++i) used.insert(fake.arrive("a" + std::to_string(i), 5));
+  EXPECT_EQ(used.size(), 3u);
+}
+
+TEST(Signals, ASilentHostFallsAndClimbsBackInSteps) {
+  Fake fake;
+  fake.start(5);
+  const std::string home = fake.arrive("a", 3);
+  fake.end("a", Outcome::honoured, true);
+  fake.silent.insert(home);
+  fake.pass(40000);
+  EXPECT_NE(fake.arrive("b", 3), home);
+  fake.end("b", Outcome::honoured, true);
+  fake.silent.clear();
+  fake.pass(200000);
+  EXPECT_EQ(fake.arrive("c", 3), home);
+}
+
+TEST(Freeze, WhenMostHostsDegradeAtOnceTheWeightsStay) {
+  Fake fake;
+  fake.start(5);
+  for (int i = 0; i < 5; ++i) fake.silent.insert("h" + std::to_string(i));
+  fake.pass(60000);
+  EXPECT_NE(fake.arrive("a", 3), "");
+}
+
+TEST(Same, TheSameEventsGiveTheSameActions) {
+  Fake one, two;
+  one.start(5);
+  two.start(5);
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_EQ(one.arrive("a" + std::to_string(i), i % 7), two.arrive("a" + std::to_string(i), i % 7));
+    one.pass(1000);
+    two.pass(1000);
+  }
+  EXPECT_EQ(one.probes, two.probes);
+}
+
+TEST(Settings, AMissingFigureOfARuleIsNamed) {
+  Fake fake;
+  fake.settings.erase("cold_time");
+  try {
+    fake.start(1);
+    FAIL();
+  } catch (const std::runtime_error& error) {
+    EXPECT_NE(std::string(error.what()).find("cold_time"), std::string::npos);
+  }
+}
