--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -8,14 +8,13 @@
 #include <cmath>
 #include <deque>
 #include <set>
-#include <stdexcept>
 #include <utility>
 
+#include "notes.h"
+
 namespace dapplewharf {
 namespace {
 
-constexpr Tenths kMs = 10;
-constexpr Tenths kSecond = 1000 * kMs;
 constexpr Tenths kPulse =
     100 * kMs;  // how often the parts look at the clock; well under every span they watch
 constexpr int kPulseAlarm = 1;
@@ -32,122 +31,16 @@
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr int kPoints =
     60;  // virtual points of a host of mean size at full weight: shares true to a few percent
-constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
-constexpr double kWellOver = 1.25;  // design: "well over" the mean
-constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
-constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
+constexpr int kOverBy = 2;             // design: connections over the mean before a host is passed
+constexpr double kWellOver = 1.25;     // design: "well over" the mean
+constexpr double kProbeWork = 0.1;     // a probe is a small part of a set-up to a cold host
+constexpr std::size_t kTimes = 40;     // set-up times kept to tell the usual one
+constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
+constexpr double kReliefShare =
+    0.15;  // of its connections: a few steps clear a host, one step overshoots little
 constexpr Tenths kStrainHeld =
     1500 * kMs;  // slow-message notes come once a second: one lost note is no relief
 
-double number(const Settings& settings, const std::string& name, double otherwise) {
-  const auto found = settings.find(name);
-  const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
-  return value ? *value : otherwise;
-}
-
-double needed(const Settings& settings, const std::string& name) {
-  const auto found = settings.find(name);
-  const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
-  if (!value) throw std::runtime_error("setting missing: " + name);
-  return *value;
-}
-
-std::string text(const Settings& settings, const std::string& name) {
-  const auto found = settings.find(name);
-  const std::string* value = found == settings.end() ? nullptr : std::get_if<std::string>(&found->second);
-  return value ? *value : std::string();
-}
-
-// PCG-XSH-RR: 64 bits of state, 32 of output.
-struct Chance {
-  std::uint64_t state;
-  explicit Chance(std::uint64_t seed) : state(seed + 1442695040888963407ULL) { next(); }
-  std::uint32_t next() {
-    const std::uint64_t old = state;
-    state = old * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-    const auto turn = static_cast<std::uint32_t>(old >> 59);
-    return (mixed >> turn) | (mixed << ((32 - turn) & 31));
-  }
-  double share() { return next() / 4294967296.0; }
-};
-
-std::uint64_t hash(std::uint64_t word) {  // the finaliser of SplitMix64
-  word += 0x9e3779b97f4a7c15ULL;
-  word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  word = (word ^ (word >> 27)) * 0x94d049bb133111ebULL;
-  return word ^ (word >> 31);
-}
-
-std::uint64_t hash(const std::string& word) {  // FNV-1a
-  std::uint64_t sum = 0xcbf29ce484222325ULL;
-  for (const char letter : word) sum = (sum ^ static_cast<unsigned char>(letter)) * 0x100000001b3ULL;
-  return hash(sum);
-}
-
-std::string figure(double value) {
-  std::string out = std::to_string(std::llround(value * 100) / 100.0);
-  return out.substr(0, out.find('.') + 3);
-}
-
-// What a host tells the others of itself.
-struct Card {
-  std::string zone;
-  std::int64_t cell = 0;
-  double size = 1;
-  double score = 100;
-  double weight = 1;      // score and ramp together
-  int open = 0;           // connections, with set-ups still out
-  bool healthy = false;   // listed and neither draining nor gone
-  bool strained = false;  // messages there are slow
-  bool refusing = false;  // it lately proved that it takes no connection
-  bool cold = false;
-};
-
-// What the roster tells everyone of the fleet.
-struct Fleet {
-  bool frozen = false;
-  double score = 100;  // mean of the others, where a new host starts
-  double bears = 0;    // open connections that a warm host of size 1 bears for this node
-};
-
-enum class Part { roster, ring, desk, host };
-enum class Topic { event, listed, unlisted, pulse, card, fleet, seek, route, offer, taken, passed, evict };
-
-struct Note {
-  Part to = Part::desk;
-  Topic topic = Topic::event;
-  std::string host;  // which host it goes to, or is about
-  Event event;       // the event that it hands on, if any; its id names the attachment
-  Listing listing;
-  Card card;
-  Fleet fleet;
-  std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
-  std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
-  int count = 0;
-  bool fresh = false;  // of a listing: new to a list that was known
-};
-
-struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
-  Settings settings;
-  Chance chance;
-  Tenths now;
-  std::deque<Note> post;
-  std::vector<Action> actions;
-  void act(ActionKind kind, const std::string& id, const std::string& host, int number = 0, Tenths time = 0) {
-    actions.push_back({kind, id, host, "", number, time});
-  }
-  Note& write(Part to, Topic topic,
-              const std::string& host = "") {  // posts a note; the caller fills in the rest
-    post.emplace_back();
-    post.back().to = to;
-    post.back().topic = topic;
-    post.back().host = host;
-    return post.back();
-  }
-  void log(std::string line) { actions.push_back({ActionKind::log, "", "", std::move(line), 0, 0}); }
-};
-
 // One of the two signals of a host: its last results, and whether a run has turned it.
 struct Signal {
   std::deque<bool> results;
@@ -187,7 +80,7 @@
       case Topic::pulse: pulse(); break;
       case Topic::fleet: fleet_ = note.fleet; break;
       case Topic::offer: offered(note); break;
-      case Topic::event: happened(note.event); break;
+      case Topic::event: happened(note); break;
       default: return;
     }
     tell();
@@ -269,14 +162,15 @@
     ++card_.open;
   }
 
-  void happened(const Event& event) {
+  void happened(const Note& note) {
+    const Event& event = note.event;
     switch (event.kind) {
       case EventKind::handed_over: ++card_.open; break;
       case EventKind::established:
         refusals_ = 0;
         result(setups_, event.took <= event.expiry);  // the desk puts the longest good set-up time there
         break;
-      case EventKind::try_ended: ended(event); break;
+      case EventKind::try_ended: ended(event, note.standing); break;
       case EventKind::delay_told: delayed(event.figure); break;
       case EventKind::probe_ended:
         probe_out_ = false;
@@ -288,7 +182,8 @@
     }
   }
 
-  void ended(const Event& event) {
+  void ended(const Event& event, bool standing) {
+    if (standing && event.outcome == Outcome::lost) shed_at_ = around_.now;
     card_.open = std::max(0, card_.open - 1);
     switch (event.outcome) {
       case Outcome::honoured:
@@ -302,7 +197,30 @@
   }
 
   void delayed(double delay) {
-    if (delay > 0) strained_at_ = around_.now;
+    delay_ = delay;
+    strained_at_ =
+        delay * 3 > shortest_goal() ? around_.now : 0;  // the last note of a spell tells of its end
+  }
+
+  double shortest_goal() const {
+    double goal = number(around_.settings, "message_goal.0", 0);
+    for (int i = 1; around_.settings.count("message_goal." + std::to_string(i)); ++i)
+      goal = std::min(goal, number(around_.settings, "message_goal." + std::to_string(i), 0));
+    return goal;
+  }
+
+  // Danger: value is counted by the second, and connections left on a host that answers too late or not at
+  // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
+  void relieve() {
+    if (fleet_.frozen || fleet_.room == 0 || around_.now < next_relief_ || card_.open == 0) return;
+    const bool late = card_.strained && delay_ * 2 > shortest_goal();
+    if (probes_.good && !late) return;
+    next_relief_ = around_.now + (probes_.good ? kRelief : kPulse);
+    const int count =
+        static_cast<int>(std::ceil(card_.open * (probes_.good ? kReliefShare : 4 * kReliefShare)));
+    around_.write(Part::desk, Topic::evict, id_).count = count;
+    around_.log("host " + id_ + " gives up " + std::to_string(count) + " of " + std::to_string(card_.open) +
+                (probes_.good ? ", message ms " + figure(delay_ / kMs) : ", probes bad"));
   }
 
   void result(Signal& signal, bool good) {
@@ -339,6 +257,7 @@
   void pulse() {
     climb();
     probe();
+    relieve();
   }
 
   void climb() {
@@ -370,6 +289,7 @@
     card_.weight = score / 100 * kRamp[step_];
     card_.healthy = state_ == HostState::healthy;
     card_.strained = strained_at_ > 0 && around_.now - strained_at_ < kStrainHeld;
+    card_.shedding = shed_at_ > 0 && around_.now - shed_at_ < kStrainHeld;
     card_.refusing = refusals_ >= 2;
     card_.cold = cold();
     for (const Part to : {Part::roster, Part::ring}) around_.write(to, Topic::card, id_).card = card_;
@@ -381,9 +301,11 @@
   Fleet fleet_;
   HostState state_ = HostState::gone;
   bool known_ = false, probe_out_ = false;
-  Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0;
+  Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0;
   Signal probes_, setups_;
   int step_ = kTop, refusals_ = 0;
+  double delay_ = 0;  // of a message, as last told
+  Tenths next_relief_ = 0;
   double inherited_ = 100;  // a new host starts at the others' mean
   std::deque<Tenths> flaps_;
   std::deque<std::pair<Tenths, double>> sent_;
@@ -447,6 +369,7 @@
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
+      if (!card.strained && card.weight > 0.5) ++fleet.room;
       if (!card.cold && card.weight > 0.5) {
         open += card.open;
         size += card.size;
@@ -539,6 +462,9 @@
       if (at->number >= std::lround(weight * points_of(card)) || seen.count(at->host)) continue;
       if (!seek.host.empty() && !drops_repeats(seek, card)) continue;
       seen.insert(at->host);
+      // Danger: a host that drops connections is over its end; more of them are dropped too and come again at
+      // once.
+      if (card.shedding && !seek.event.mid_flow) continue;
       ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0), at->host);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
@@ -592,6 +518,7 @@
       case Topic::event: happened(note.event); break;
       case Topic::route: ask(note.event.id, note.hosts); break;
       case Topic::passed: ask(note.event.id, note.hosts); break;
+      case Topic::evict: evict(note.host, note.count); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -609,6 +536,7 @@
     Event event;
     std::string effect, group;
     std::vector<Try> tries;
+    double load = 0;        // as last told
     bool standing = false;  // the connection is open
     bool answered = false;  // ended; kept until its last try's result has come
   };
@@ -641,12 +569,15 @@
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
       case EventKind::delay_told: tell_host(event, event.host); break;
+      case EventKind::load_told: held.load = event.figure; break;
       default: break;
     }
   }
 
-  void tell_host(const Event& event, const std::string& host) {
-    around_.write(Part::host, Topic::event, host).event = event;
+  void tell_host(const Event& event, const std::string& host, bool standing = false) {
+    Note& note = around_.write(Part::host, Topic::event, host);
+    note.event = event;
+    note.standing = standing;
   }
 
   void arrives(const Event& event) {
@@ -680,11 +611,26 @@
     if (!last.out) return;
     last.out = false;
     last.may_have_run = !proves_never_ran(event.outcome);
-    tell_host(event, last.host);
+    tell_host(event, last.host, held.standing);
     if (event.final || held.standing) held.answered = true;
     if (!held.answered) seek(held);
   }
 
+  // Moves the heaviest connections first: the fewest clients are disturbed for the same relief.
+  void evict(const std::string& host, int count) {
+    std::vector<std::pair<double, Attachment*>> there;
+    for (auto& [id, held] : held_)
+      if (held.standing && !held.answered && held.tries.back().host == host)
+        there.emplace_back(held.load, &held);
+    std::stable_sort(there.begin(), there.end(),
+                     [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (const auto& [load, held] : there) {
+      if (count-- <= 0) break;
+      held->answered = true;  // the client comes again as a new attachment
+      around_.act(ActionKind::move, held->event.id, host);
+    }
+  }
+
   // The one place that decides whether an attachment may have another setup try.
   bool may_be_tried_again(const Attachment& held) const {
     if (held.answered || held.standing || around_.now >= held.event.expiry) return false;
--- /dev/null
+++ b/src/notes.h
@@ -0,0 +1,101 @@
+// The notes that the parts of the module post to each other, and what all parts may use. No decisions.
+#pragma once
+#include <cmath>
+#include <deque>
+#include <stdexcept>
+#include <utility>
+
+#include "chance.h"
+#include "words.h"
+
+namespace dapplewharf {
+
+constexpr Tenths kMs = 10;
+constexpr Tenths kSecond = 1000 * kMs;
+
+inline double number(const Settings& settings, const std::string& name, double otherwise) {
+  const auto found = settings.find(name);
+  const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
+  return value ? *value : otherwise;
+}
+
+inline double needed(const Settings& settings, const std::string& name) {
+  const auto found = settings.find(name);
+  const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
+  if (!value) throw std::runtime_error("setting missing: " + name);
+  return *value;
+}
+
+inline std::string text(const Settings& settings, const std::string& name) {
+  const auto found = settings.find(name);
+  const std::string* value = found == settings.end() ? nullptr : std::get_if<std::string>(&found->second);
+  return value ? *value : std::string();
+}
+
+inline std::string figure(double value) {
+  std::string out = std::to_string(std::llround(value * 100) / 100.0);
+  return out.substr(0, out.find('.') + 3);
+}
+
+// What a host tells the others of itself.
+struct Card {
+  std::string zone;
+  std::int64_t cell = 0;
+  double size = 1;
+  double score = 100;
+  double weight = 1;      // score and ramp together
+  int open = 0;           // connections, with set-ups still out
+  bool healthy = false;   // listed and neither draining nor gone
+  bool strained = false;  // messages there are slow
+  bool shedding = false;  // it lately dropped connections that stood
+  bool refusing = false;  // it lately proved that it takes no connection
+  bool cold = false;
+};
+
+// What the roster tells everyone of the fleet.
+struct Fleet {
+  bool frozen = false;
+  double score = 100;  // mean of the others, where a new host starts
+  int room = 0;        // hosts that can take more
+  double bears = 0;    // open connections that a warm host of size 1 bears for this node
+};
+
+enum class Part { roster, ring, desk, host };
+enum class Topic { event, listed, unlisted, pulse, card, fleet, seek, route, offer, taken, passed, evict };
+
+struct Note {
+  Part to = Part::desk;
+  Topic topic = Topic::event;
+  std::string host;  // which host it goes to, or is about
+  Event event;       // the event that it hands on, if any; its id names the attachment
+  Listing listing;
+  Card card;
+  Fleet fleet;
+  std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
+  std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
+  int count = 0;
+  bool standing = false;  // of a result: the connection had been established
+  bool fresh = false;     // of a listing: new to a list that was known
+};
+
+struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
+  Settings settings;
+  Chance chance;
+  Tenths now;
+  std::deque<Note> post;
+  std::vector<Action> actions;
+  void act(ActionKind kind, const std::string& id, const std::string& host, int number = 0, Tenths time = 0) {
+    actions.push_back({kind, id, host, "", number, time});
+  }
+  Note& write(Part to, Topic topic,
+              const std::string& host = "") {  // posts a note; the caller fills in the rest
+    post.emplace_back();
+    post.back().to = to;
+    post.back().topic = topic;
+    post.back().host = host;
+    return post.back();
+  }
+  void log(std::string line) { actions.push_back({ActionKind::log, "", "", std::move(line), 0, 0}); }
+};
+
+}  // namespace dapplewharf
