--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -212,7 +212,7 @@
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   void relieve() {
-    if (fleet_.frozen || fleet_.room == 0 || around_.now < next_relief_ || card_.open == 0) return;
+    if (fleet_.frozen || !fleet_.room || around_.now < next_relief_ || card_.open == 0) return;
     const bool late = card_.strained && delay_ * 2 > shortest_goal();
     if (probes_.good && !late) return;
     next_relief_ = around_.now + (probes_.good ? kRelief : kPulse);
@@ -363,18 +363,19 @@
     if (asked_for() && started_ && !subscribed_ && around_.now >= ask_at_) ask();
     Fleet fleet;
     double scores = 0, open = 0, size = 0;
-    int hosts = 0, degraded = 0;
+    int hosts = 0, degraded = 0, roomy = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
-      if (!card.strained && card.weight > 0.5) ++fleet.room;
+      if (!card.strained && card.weight > 0.5) ++roomy;
       if (!card.cold && card.weight > 0.5) {
         open += card.open;
         size += card.size;
       }
     }
+    fleet.room = roomy * 2 > hosts;
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
@@ -437,11 +438,12 @@
     std::sort(points_.begin(), points_.end());
   }
 
-  // The client key; where none comes the group stands in (it keeps connections that share work together),
-  // and without either the attachment's own id.
+  // The client key. Where connections of a group share work the group stands in for it: every host that holds
+  // any of a group pays for it, and client keys would spread each group over all hosts. Without either, the
+  // id.
   static std::uint64_t key_of(const Event& event) {
-    if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
     if (event.group) return hash(static_cast<std::uint64_t>(*event.group));
+    if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
     return hash(event.id);
   }
 
@@ -490,9 +492,12 @@
     const bool near = card.zone == text(around_.settings, "zone");
     const double share = mean * card.size;
     const bool over = card.open + 1 >= share + kOverBy && card.open + 1 > share * kWellOver;
-    if (card.strained) return near ? 3 : 4;
-    if (near) return over ? 1 : 0;
-    return 2;
+    if (card.strained) return near ? 5 : 6;
+    const auto home = seek.homes.find(id);
+    if (home != seek.homes.end() && !over)
+      return 0;  // holds some of the group already: the work is paid for there
+    if (near) return over ? 2 : 1;
+    return over ? 4 : 3;
   }
 
   Surroundings& around_;
@@ -616,18 +621,21 @@
     if (!held.answered) seek(held);
   }
 
-  // Moves the heaviest connections first: the fewest clients are disturbed for the same relief.
+  // Whole groups move together, in an order that every node finds alike, so that a group is paid for at one
+  // host and not at two; without groups each connection is one of its own.
   void evict(const std::string& host, int count) {
-    std::vector<std::pair<double, Attachment*>> there;
+    std::map<std::uint64_t, std::vector<Attachment*>> groups;
     for (auto& [id, held] : held_)
       if (held.standing && !held.answered && held.tries.back().host == host)
-        there.emplace_back(held.load, &held);
-    std::stable_sort(there.begin(), there.end(),
-                     [](const auto& a, const auto& b) { return a.first > b.first; });
-    for (const auto& [load, held] : there) {
-      if (count-- <= 0) break;
-      held->answered = true;  // the client comes again as a new attachment
-      around_.act(ActionKind::move, held->event.id, host);
+        groups[held.event.group ? hash(static_cast<std::uint64_t>(*held.event.group)) : hash(id)].push_back(
+            &held);
+    for (const auto& [group, members] : groups) {
+      if (count <= 0) break;
+      for (Attachment* held : members) {
+        held->answered = true;  // the client comes again as a new attachment
+        around_.act(ActionKind::move, held->event.id, host);
+        --count;
+      }
     }
   }
 
@@ -659,6 +667,10 @@
     if (!may_be_tried_again(held)) return give_up(held);
     Note& note = around_.write(Part::ring, Topic::seek);
     note.event = held.event;
+    if (held.event.group)
+      for (const auto& [id, other] : held_)
+        if (other.standing && !other.answered && other.event.group == held.event.group)
+          ++note.homes[other.tries.back().host];
     for (const Try& earlier : held.tries) {
       note.hosts.push_back(earlier.host);
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
--- a/src/notes.h
+++ b/src/notes.h
@@ -71,8 +71,9 @@
   Listing listing;
   Card card;
   Fleet fleet;
-  std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
-  std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
+  std::vector<std::string> hosts;    // of a seek: those tried already; of a route: in the order to ask
+  std::map<std::string, int> homes;  // of a seek: the hosts that hold some of its group, and how many
+  std::string within;                // of a seek: "zone" or "cell" of `host`, where repeats are dropped
   int count = 0;
   bool standing = false;  // of a result: the connection had been established
   bool fresh = false;     // of a listing: new to a list that was known
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -11,12 +11,14 @@
   Settings settings{{"nodes", 1.0},           {"zone", "near"},           {"cold_from", 0.3},
                     {"cold_time", 80000.0},   {"fall_time", 20000.0},     {"fall_multiple", 2.5},
                     {"drain_grace", 10000.0}, {"max_tries", 4.0},         {"probes_allowed", 1.0},
-                    {"come_back_told", 1.0},  {"max_come_back", 15000.0}, {"discovery", "pushed"}};
+                    {"come_back_told", 1.0},  {"max_come_back", 15000.0}, {"message_goal.0", 500.0},
+                    {"discovery", "pushed"}};
   std::unique_ptr<Choice> node;
   Tenths now = 1000000;
   std::vector<Action> last;  // the answer to the latest event
   std::map<std::string, std::vector<std::string>> tries;
   std::map<std::string, int> probes;
+  std::vector<std::string> moved;
   std::set<std::string> silent;  // hosts that answer no probe
 
   Fake() {
@@ -51,6 +53,7 @@
     for (const Action& action : last) {
       if (action.kind == ActionKind::setup_try) tries[action.id].push_back(action.host);
       if (action.kind == ActionKind::probe) ++probes[action.host];
+      if (action.kind == ActionKind::move) moved.push_back(action.id);
     }
     return last;
   }
@@ -64,7 +67,7 @@
   }
 
   std::string arrive(const std::string& id, std::int64_t key = 1, const std::string& type = "plain",
-                     bool mid_flow = false) {
+                     bool mid_flow = false, std::optional<std::int64_t> group = {}) {
     Event event;
     event.kind = EventKind::attachment;
     event.id = id;
@@ -72,6 +75,7 @@
     event.traffic_type = type;
     event.expiry = now + 30000;
     event.mid_flow = mid_flow;
+    event.group = group;
     tell(event);
     return tries[id].empty() ? "" : tries[id].back();
   }
@@ -97,6 +101,15 @@
     return tell(event);
   }
 
+  const std::vector<Action>& delay(const std::string& id, Tenths delay) {
+    Event event;
+    event.kind = EventKind::delay_told;
+    event.id = id;
+    event.host = tries[id].back();
+    event.figure = static_cast<double>(delay);
+    return tell(event);
+  }
+
   // Lets time pass: alarms come due, and every probe is answered at once unless its host is silent.
   void pass(Tenths span) {
     for (const Tenths until = now + span; now < until;) {
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -193,3 +193,34 @@
     EXPECT_NE(std::string(error.what()).find("cold_time"), std::string::npos);
   }
 }
+
+TEST(Moves, ALateHostGivesUpItsConnectionsAndTakesNoNewOnes) {
+  Fake fake;
+  fake.start(4);
+  const std::string home = fake.arrive("a", 1);
+  fake.stand("a");
+  fake.delay("a", 2000);
+  EXPECT_NE(fake.arrive("b", 1), home);
+  fake.pass(2000);
+  EXPECT_EQ(fake.moved, std::vector<std::string>{"a"});
+}
+
+TEST(Moves, NothingIsMovedWhenMostHostsAreLate) {
+  Fake fake;
+  fake.start(2);
+  for (int i = 0; i < 4; ++i) {
+    fake.arrive("a" + std::to_string(i), i);
+    fake.stand("a" + std::to_string(i));
+  }
+  for (int i = 0; i < 4; ++i) fake.delay("a" + std::to_string(i), 2000);
+  fake.pass(5000);
+  EXPECT_TRUE(fake.moved.empty()) << "moving work about helps nobody when all are late";
+}
+
+TEST(Groups, ConnectionsThatShareWorkMeetAtOneHost) {
+  Fake fake;
+  fake.start(6);
+  const std::string home = fake.arrive("a", 1, "plain", false, 77);
+  fake.stand("a");
+  EXPECT_EQ(fake.arrive("b", 2, "plain", false, 77), home);
+}
