--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -174,6 +174,7 @@
       case EventKind::delay_told: delayed(event.figure); break;
       case EventKind::probe_ended:
         probe_out_ = false;
+        silent_ = event.outcome == Outcome::no_answer || event.outcome == Outcome::no_connection;
         result(probes_, event.outcome == Outcome::honoured);
         // A quiet node sees few set-ups: while that signal is bad, good probes count for its run as well.
         if (event.outcome == Outcome::honoured && !setups_.good) result(setups_, true);
@@ -214,13 +215,14 @@
   void relieve() {
     if (fleet_.frozen || !fleet_.room || around_.now < next_relief_ || card_.open == 0) return;
     const bool late = card_.strained && delay_ * 2 > shortest_goal();
-    if (probes_.good && !late) return;
-    next_relief_ = around_.now + (probes_.good ? kRelief : kPulse);
-    const int count =
-        static_cast<int>(std::ceil(card_.open * (probes_.good ? kReliefShare : 4 * kReliefShare)));
+    const bool dead =
+        !probes_.good && silent_;  // one that answers with errors may well serve what stands there
+    if (!dead && !late) return;
+    next_relief_ = around_.now + (dead ? kPulse : kRelief);
+    const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
     around_.write(Part::desk, Topic::evict, id_).count = count;
     around_.log("host " + id_ + " gives up " + std::to_string(count) + " of " + std::to_string(card_.open) +
-                (probes_.good ? ", message ms " + figure(delay_ / kMs) : ", probes bad"));
+                (dead ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
   }
 
   void result(Signal& signal, bool good) {
@@ -301,6 +303,7 @@
   Fleet fleet_;
   HostState state_ = HostState::gone;
   bool known_ = false, probe_out_ = false;
+  bool silent_ = false;  // the last probe had no answer at all
   Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0;
   Signal probes_, setups_;
   int step_ = kTop, refusals_ = 0;
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -19,7 +19,7 @@
   std::map<std::string, std::vector<std::string>> tries;
   std::map<std::string, int> probes;
   std::vector<std::string> moved;
-  std::set<std::string> silent;  // hosts that answer no probe
+  std::set<std::string> silent, failing;  // hosts that answer no probe, or answer with an error
 
   Fake() {
     traffic(0, "plain", "idempotent", "all");
@@ -121,7 +121,9 @@
         Event answer;
         answer.kind = EventKind::probe_ended;
         answer.host = action.host;
-        answer.outcome = silent.count(action.host) ? Outcome::no_answer : Outcome::honoured;
+        answer.outcome = silent.count(action.host)    ? Outcome::no_answer
+                         : failing.count(action.host) ? Outcome::error
+                                                      : Outcome::honoured;
         tell(answer);
       }
     }
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -224,3 +224,17 @@
   fake.stand("a");
   EXPECT_EQ(fake.arrive("b", 2, "plain", false, 77), home);
 }
+
+TEST(Moves, AHostWhoseProbesFailFastKeepsWhatStandsThere) {
+  Fake fake;
+  fake.start(4);
+  const std::string home = fake.arrive("a", 1);
+  fake.stand("a");
+  fake.failing.insert(home);
+  fake.pass(60000);
+  EXPECT_TRUE(fake.moved.empty());
+  fake.failing.clear();
+  fake.silent.insert(home);
+  fake.pass(60000);
+  EXPECT_FALSE(fake.moved.empty());
+}
