--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,10 +31,12 @@
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr int kPoints =
     60;  // virtual points of a host of mean size at full weight: shares true to a few percent
-constexpr int kOverBy = 2;             // design: connections over the mean before a host is passed
-constexpr double kWellOver = 1.25;     // design: "well over" the mean
-constexpr double kProbeWork = 0.1;     // a probe is a small part of a set-up to a cold host
-constexpr std::size_t kTimes = 40;     // set-up times kept to tell the usual one
+constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
+constexpr double kWellOver = 1.25;  // design: "well over" the mean
+constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
+constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
+constexpr double kSpareShare =
+    0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -213,7 +215,7 @@
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   void relieve() {
-    if (fleet_.frozen || !fleet_.room || around_.now < next_relief_ || card_.open == 0) return;
+    if (fleet_.frozen || around_.now < next_relief_ || card_.open == 0) return;
     const bool late = card_.strained && delay_ * 2 > shortest_goal();
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
@@ -366,19 +368,19 @@
     if (asked_for() && started_ && !subscribed_ && around_.now >= ask_at_) ask();
     Fleet fleet;
     double scores = 0, open = 0, size = 0;
-    int hosts = 0, degraded = 0, roomy = 0;
+    int hosts = 0, degraded = 0, spare = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
-      if (!card.strained && card.weight > 0.5) ++roomy;
+      if (!card.strained && card.weight > 0.5) spare += card.open;
       if (!card.cold && card.weight > 0.5) {
         open += card.open;
         size += card.size;
       }
     }
-    fleet.room = roomy * 2 > hosts;
+    fleet.spare = static_cast<int>(kSpareShare * spare);
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
@@ -526,6 +528,7 @@
       case Topic::event: happened(note.event); break;
       case Topic::route: ask(note.event.id, note.hosts); break;
       case Topic::passed: ask(note.event.id, note.hosts); break;
+      case Topic::fleet: fleet_ = note.fleet; break;
       case Topic::evict: evict(note.host, note.count); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
@@ -627,16 +630,19 @@
   // Whole groups move together, in an order that every node finds alike, so that a group is paid for at one
   // host and not at two; without groups each connection is one of its own.
   void evict(const std::string& host, int count) {
+    std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     std::map<std::uint64_t, std::vector<Attachment*>> groups;
     for (auto& [id, held] : held_)
       if (held.standing && !held.answered && held.tries.back().host == host)
         groups[held.event.group ? hash(static_cast<std::uint64_t>(*held.event.group)) : hash(id)].push_back(
             &held);
     for (const auto& [group, members] : groups) {
-      if (count <= 0) break;
+      // Danger: moved work chases itself from host to host when few have room.
+      if (count <= 0 || static_cast<int>(moved_.size()) >= fleet_.spare) break;
       for (Attachment* held : members) {
         held->answered = true;  // the client comes again as a new attachment
         around_.act(ActionKind::move, held->event.id, host);
+        moved_.push_back(around_.now);
         --count;
       }
     }
@@ -730,7 +736,9 @@
   Surroundings& around_;
   std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
   std::map<std::string, Attachment> held_;
-  std::deque<Tenths> times_;
+  std::deque<Tenths> times_;  // of the last set-ups that stood
+  std::deque<Tenths> moved_;  // when connections were moved, over the last second
+  Fleet fleet_;
 };
 
 }  // namespace
--- a/src/notes.h
+++ b/src/notes.h
@@ -56,7 +56,7 @@
 struct Fleet {
   bool frozen = false;
   double score = 100;  // mean of the others, where a new host starts
-  int room = 0;        // hosts that can take more
+  int spare = 0;       // moved connections that hosts with room may take in a second
   double bears = 0;    // open connections that a warm host of size 1 bears for this node
 };
 
