--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -367,20 +367,22 @@
   void pulse() {
     if (asked_for() && started_ && !subscribed_ && around_.now >= ask_at_) ask();
     Fleet fleet;
-    double scores = 0, open = 0, size = 0;
-    int hosts = 0, degraded = 0, spare = 0;
+    double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
+    int hosts = 0, degraded = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
-      if (!card.strained && card.weight > 0.5) spare += card.open;
+      all_open += card.open;
+      all_size += card.size;
+      if (!card.strained && card.weight > 0.5) roomy += card.size;
       if (!card.cold && card.weight > 0.5) {
         open += card.open;
         size += card.size;
       }
     }
-    fleet.spare = static_cast<int>(kSpareShare * spare);
+    if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
