--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,6 +35,8 @@
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
+constexpr double kInrush = 0.5;     // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushLeast = 3;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
@@ -124,7 +126,17 @@
       const bool in_grace = around_.now - left_at_ < needed(around_.settings, "drain_grace") - kPulse;
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
-    return !cold() || cold_sent() + 1 <= cold_budget();
+    if (cold()) return cold_sent() + 1 <= cold_budget();
+    return attachment.mid_flow || lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
+  }
+
+  // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
+  // part of what hosts usually hold as new work in a second; whoever finds no host is told when to come back.
+  double lately_sent() const {
+    double sum = 0;
+    for (auto at = sent_.rbegin(); at != sent_.rend() && around_.now - at->first < kSecond; ++at)
+      if (at->second >= 1) ++sum;
+    return sum;
   }
 
   // Danger: all nodes together push a cold host over. Each node keeps to its own part of what the host can
@@ -293,6 +305,7 @@
     card_.weight = score / 100 * kRamp[step_];
     card_.healthy = state_ == HostState::healthy;
     card_.strained = strained_at_ > 0 && around_.now - strained_at_ < kStrainHeld;
+    card_.late = card_.strained && delay_ > shortest_goal();
     card_.shedding = shed_at_ > 0 && around_.now - shed_at_ < kStrainHeld;
     card_.refusing = refusals_ >= 2;
     card_.cold = cold();
@@ -367,7 +380,9 @@
   void pulse() {
     if (asked_for() && started_ && !subscribed_ && around_.now >= ask_at_) ask();
     Fleet fleet;
-    double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
+    double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0, near_open = 0,
+           near_size = 0;
+    const std::string zone = text(around_.settings, "zone");
     int hosts = 0, degraded = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
@@ -376,12 +391,14 @@
       if (card.score < 75 && !card.cold) ++degraded;
       all_open += card.open;
       all_size += card.size;
+      if (card.zone == zone) near_open += card.open, near_size += card.size;
       if (!card.strained && card.weight > 0.5) roomy += card.size;
       if (!card.cold && card.weight > 0.5) {
         open += card.open;
         size += card.size;
       }
     }
+    if (near_size > 0) fleet.mean = near_open / near_size;
     if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
@@ -473,7 +490,7 @@
       seen.insert(at->host);
       // Danger: a host that drops connections is over its end; more of them are dropped too and come again at
       // once.
-      if (card.shedding && !seek.event.mid_flow) continue;
+      if ((card.shedding || card.late) && !seek.event.mid_flow) continue;
       ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0), at->host);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
--- a/src/notes.h
+++ b/src/notes.h
@@ -47,6 +47,7 @@
   int open = 0;           // connections, with set-ups still out
   bool healthy = false;   // listed and neither draining nor gone
   bool strained = false;  // messages there are slow
+  bool late = false;      // so slow that none is in time
   bool shedding = false;  // it lately dropped connections that stood
   bool refusing = false;  // it lately proved that it takes no connection
   bool cold = false;
@@ -56,6 +57,7 @@
 struct Fleet {
   bool frozen = false;
   double score = 100;  // mean of the others, where a new host starts
+  double mean = 0;     // open connections for a size of 1, in this node's own zone
   int spare = 0;       // moved connections that hosts with room may take in a second
   double bears = 0;    // open connections that a warm host of size 1 bears for this node
 };
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -238,3 +238,14 @@
   fake.pass(60000);
   EXPECT_FALSE(fake.moved.empty());
 }
+
+TEST(Crowds, OneHostTakesOnlyAPartOfACrowdAndTheRestComesBackLater) {
+  Fake fake;
+  fake.start(1);
+  int taken = 0;
+  for (int i = 0; i < 40; ++i) taken += fake.arrive("a" + std::to_string(i), i).empty() ? 0 : 1;
+  EXPECT_GT(taken, 1);
+  EXPECT_LT(taken, 30);
+  fake.now += 10000;
+  EXPECT_NE(fake.arrive("later", 1), "");
+}
