--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,6 +39,7 @@
 constexpr double kInrushLeast = 3;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
+constexpr double kLeastRoom = 0.33;    // moves never slow down below this part of that
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -399,7 +400,12 @@
       }
     }
     if (near_size > 0) fleet.mean = near_open / near_size;
-    if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
+    // Danger: a host far over its end serves nobody in time, for as long as it holds them all. With no room
+    // anywhere some are still sent away, slowly; they are rejected until a host is in time again, and the
+    // rest is served.
+    if (all_size > 0)
+      fleet.spare =
+          static_cast<int>(std::ceil(kSpareShare * all_open * std::max(roomy / all_size, kLeastRoom)));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
