--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,7 +39,7 @@
 constexpr double kInrushLeast = 3;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
-constexpr double kLeastRoom = 0.33;    // moves never slow down below this part of that
+constexpr double kLeastRoom = 0.66;    // moves never slow down below this part of that
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -228,7 +228,7 @@
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   void relieve() {
-    if (fleet_.frozen || around_.now < next_relief_ || card_.open == 0) return;
+    if (around_.now < next_relief_ || card_.open == 0) return;
     const bool late = card_.strained && delay_ * 2 > shortest_goal();
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
