--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,7 +39,6 @@
 constexpr double kInrushLeast = 3;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
-constexpr double kLeastRoom = 0.66;    // moves never slow down below this part of that
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -228,7 +227,7 @@
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   void relieve() {
-    if (around_.now < next_relief_ || card_.open == 0) return;
+    if (fleet_.frozen || around_.now < next_relief_ || card_.open == 0) return;
     const bool late = card_.strained && delay_ * 2 > shortest_goal();
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
@@ -400,12 +399,7 @@
       }
     }
     if (near_size > 0) fleet.mean = near_open / near_size;
-    // Danger: a host far over its end serves nobody in time, for as long as it holds them all. With no room
-    // anywhere some are still sent away, slowly; they are rejected until a host is in time again, and the
-    // rest is served.
-    if (all_size > 0)
-      fleet.spare =
-          static_cast<int>(std::ceil(kSpareShare * all_open * std::max(roomy / all_size, kLeastRoom)));
+    if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
