--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,6 +33,8 @@
     60;  // virtual points of a host of mean size at full weight: shares true to a few percent
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
+constexpr double kHomeOver =
+    2;  // the same for a host that pays for the group: elsewhere it is paid for again
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
 constexpr double kInrush = 0.5;     // new connections a second for one host, of the mean that hosts hold
@@ -514,14 +516,15 @@
     if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
     if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
     const bool near = card.zone == text(around_.settings, "zone");
+    const bool home =
+        seek.homes.count(id) != 0;  // holds some of the group already: the work is paid for there
     const double share = mean * card.size;
-    const bool over = card.open + 1 >= share + kOverBy && card.open + 1 > share * kWellOver;
-    if (card.strained) return near ? 5 : 6;
-    const auto home = seek.homes.find(id);
-    if (home != seek.homes.end() && !over)
-      return 0;  // holds some of the group already: the work is paid for there
+    const bool over =
+        card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
+    if (card.strained) return near ? 6 : 7;
+    if (home && !over) return near ? 0 : 3;
     if (near) return over ? 2 : 1;
-    return over ? 4 : 3;
+    return over ? 5 : 4;
   }
 
   Surroundings& around_;
