--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,7 +34,7 @@
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver =
-    2;  // the same for a host that pays for the group: elsewhere it is paid for again
+    4;  // the same for a host that pays for the group: elsewhere it is paid for again
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
 constexpr double kInrush = 0.5;     // new connections a second for one host, of the mean that hosts hold
