--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -129,7 +129,8 @@
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
     if (cold()) return cold_sent() + 1 <= cold_budget();
-    return attachment.mid_flow || lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
+    return attachment.mid_flow || !fleet_.trouble ||
+           lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
   }
 
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
@@ -391,6 +392,7 @@
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
+      if (card.late || card.shedding) fleet.trouble = true;
       all_open += card.open;
       all_size += card.size;
       if (card.zone == zone) near_open += card.open, near_size += card.size;
