--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,10 +35,10 @@
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver =
     4;  // the same for a host that pays for the group: elsewhere it is paid for again
-constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
-constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
-constexpr double kInrush = 0.5;     // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 3;  // and no fewer than this, so that an empty fleet fills
+constexpr double kProbeWork = 0.1;   // a probe is a small part of a set-up to a cold host
+constexpr std::size_t kTimes = 40;   // set-up times kept to tell the usual one
+constexpr double kInrush = 0.5;      // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushLeast = 10;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
@@ -129,8 +129,7 @@
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
     if (cold()) return cold_sent() + 1 <= cold_budget();
-    return attachment.mid_flow || !fleet_.trouble ||
-           lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
+    return attachment.mid_flow || lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
   }
 
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
@@ -392,7 +391,6 @@
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
-      if (card.late || card.shedding) fleet.trouble = true;
       all_open += card.open;
       all_size += card.size;
       if (card.zone == zone) near_open += card.open, near_size += card.size;
