--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,10 +35,11 @@
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver =
     4;  // the same for a host that pays for the group: elsewhere it is paid for again
-constexpr double kProbeWork = 0.1;   // a probe is a small part of a set-up to a cold host
-constexpr std::size_t kTimes = 40;   // set-up times kept to tell the usual one
-constexpr double kInrush = 0.5;      // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 10;  // and no fewer than this, so that an empty fleet fills
+constexpr double kProbeWork = 0.1;            // a probe is a small part of a set-up to a cold host
+constexpr std::size_t kTimes = 40;            // set-up times kept to tell the usual one
+constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
+constexpr double kInrush = 0.25;    // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushLeast = 2;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
@@ -129,7 +130,8 @@
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
     if (cold()) return cold_sent() + 1 <= cold_budget();
-    return attachment.mid_flow || lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
+    return attachment.mid_flow || !fleet_.trouble ||
+           lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
   }
 
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
@@ -391,6 +393,7 @@
       ++hosts;
       scores += card.score;
       if (card.score < 75 && !card.cold) ++degraded;
+      if (card.late || card.shedding) trouble_at_ = around_.now;
       all_open += card.open;
       all_size += card.size;
       if (card.zone == zone) near_open += card.open, near_size += card.size;
@@ -400,6 +403,7 @@
         size += card.size;
       }
     }
+    fleet.trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     if (near_size > 0) fleet.mean = near_open / near_size;
     if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
@@ -423,7 +427,7 @@
   std::set<std::string> listed_;
   bool started_ = false, subscribed_ = false, frozen_ = false;
   int losses_ = 0;
-  Tenths lost_at_ = 0, ask_at_ = 0;
+  Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0;
 };
 
 // The consistent hash ring: says in which order hosts are asked to take an attachment.
