--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,8 +38,9 @@
 constexpr double kProbeWork = 0.1;            // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;            // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
-constexpr double kInrush = 0.25;    // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 2;  // and no fewer than this, so that an empty fleet fills
+constexpr double kInrush = 0.5;          // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushTrouble = 0.25;  // the same while hosts are late or drop connections
+constexpr double kInrushLeast = 2;       // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
@@ -130,8 +131,8 @@
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
     if (cold()) return cold_sent() + 1 <= cold_budget();
-    return attachment.mid_flow || !fleet_.trouble ||
-           lately_sent() < std::max(kInrushLeast, kInrush * fleet_.mean * card_.size);
+    if (attachment.mid_flow || !fleet_.crowd_limit) return true;
+    return lately_sent() < std::max(kInrushLeast, fleet_.crowd_limit * fleet_.mean * card_.size);
   }
 
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
@@ -337,7 +338,7 @@
 class Roster {
  public:
   std::deque<Note> inbox;
-  explicit Roster(Surroundings& around) : around_(around) {}
+  explicit Roster(Surroundings& around) : around_(around), born_(around.now) {}
 
   void read(const Note& note) {
     if (note.topic == Topic::card) cards_[note.host] = note.card;
@@ -403,7 +404,10 @@
         size += card.size;
       }
     }
-    fleet.trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
+    const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
+    const bool fresh =
+        around_.now - born_ < kTroubleHeld;  // without a mean there is nothing to tell a crowd by
+    fleet.crowd_limit = trouble ? kInrushTrouble : fresh ? 0 : kInrush;
     if (near_size > 0) fleet.mean = near_open / near_size;
     if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
@@ -428,6 +432,7 @@
   bool started_ = false, subscribed_ = false, frozen_ = false;
   int losses_ = 0;
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0;
+  Tenths born_;
 };
 
 // The consistent hash ring: says in which order hosts are asked to take an attachment.
