--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,8 +39,8 @@
 constexpr std::size_t kTimes = 40;            // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0;            // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushTrouble = 0.25;  // the same while hosts are late or drop connections
-constexpr double kInrushLeast = 3;       // and no fewer than this, so that an empty fleet fills
+constexpr double kInrushTrouble = 0.35;  // the same while hosts are late or drop connections
+constexpr double kInrushLeast = 2;       // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
