--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,6 +31,7 @@
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr int kPoints =
     60;  // virtual points of a host of mean size at full weight: shares true to a few percent
+constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver =
@@ -39,7 +40,7 @@
 constexpr std::size_t kTimes = 40;            // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0;            // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushTrouble = 0.35;  // the same while hosts are late or drop connections
+constexpr double kInrushTrouble = 0.25;  // the same while hosts are late or drop connections
 constexpr double kInrushLeast = 2;       // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
@@ -187,6 +188,7 @@
       case EventKind::handed_over: ++card_.open; break;
       case EventKind::established:
         refusals_ = 0;
+        setup_at_ = around_.now;
         result(setups_, event.took <= event.expiry);  // the desk puts the longest good set-up time there
         break;
       case EventKind::try_ended: ended(event, note.standing); break;
@@ -195,8 +197,10 @@
         probe_out_ = false;
         silent_ = event.outcome == Outcome::no_answer || event.outcome == Outcome::no_connection;
         result(probes_, event.outcome == Outcome::honoured);
-        // A quiet node sees few set-ups: while that signal is bad, good probes count for its run as well.
-        if (event.outcome == Outcome::honoured && !setups_.good) result(setups_, true);
+        // Danger: a host without set-ups is never heard well of again, gets none, and stays out for ever.
+        // Where no set-up has ended of late, good probes count for that signal as well.
+        if (event.outcome == Outcome::honoured && around_.now - setup_at_ > kQuiet && setups_.share() < 1)
+          result(setups_, true);
         break;
       default: break;
     }
@@ -213,6 +217,7 @@
       case Outcome::turned_away: ++refusals_; break;
       default: break;
     }
+    setup_at_ = around_.now;
     result(setups_, false);
   }
 
@@ -237,10 +242,12 @@
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
     if (!dead && !late) return;
+    const bool begins = around_.now - next_relief_ > kStrainHeld;
     next_relief_ = around_.now + (dead ? kPulse : kRelief);
     const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
     around_.write(Part::desk, Topic::evict, id_).count = count;
-    around_.log("host " + id_ + " gives up " + std::to_string(count) + " of " + std::to_string(card_.open) +
+    if (!begins) return;
+    around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
                 (dead ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
   }
 
@@ -328,7 +335,7 @@
   Signal probes_, setups_;
   int step_ = kTop, refusals_ = 0;
   double delay_ = 0;  // of a message, as last told
-  Tenths next_relief_ = 0;
+  Tenths next_relief_ = 0, setup_at_ = 0;
   double inherited_ = 100;  // a new host starts at the others' mean
   std::deque<Tenths> flaps_;
   std::deque<std::pair<Tenths, double>> sent_;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -249,3 +249,15 @@
   fake.now += 10000;
   EXPECT_NE(fake.arrive("later", 1), "");
 }
+
+TEST(Signals, AHostWithOneBadSetupAndNoOtherComesBackByItsProbes) {
+  Fake fake;
+  fake.start(4);
+  const std::string home = fake.arrive("a", 3);
+  fake.end("a", Outcome::error);
+  fake.end("a", Outcome::honoured, true);
+  EXPECT_NE(fake.arrive("b", 3), home);
+  fake.end("b", Outcome::honoured, true);
+  fake.pass(300000);
+  EXPECT_EQ(fake.arrive("c", 3), home);
+}
