--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -248,7 +248,7 @@
     const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
     Note& wish = around_.write(Part::desk, Topic::evict, id_);
     wish.count = count;
-    wish.event.figure = dead ? std::numeric_limits<double>::max() : delay_;
+    wish.event.figure = dead ? 0 : delay_;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
                 (dead ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
@@ -669,10 +669,11 @@
     if (!held.answered) seek(held);
   }
 
-  // The hosts that are worst off come first, since there may not be room for all.
+  // Silent hosts come first, then the least late: they are in time again soonest, and there may not be room
+  // for all.
   void relieve() {
     std::stable_sort(wishes_.begin(), wishes_.end(),
-                     [](const Note& a, const Note& b) { return a.event.figure > b.event.figure; });
+                     [](const Note& a, const Note& b) { return a.event.figure < b.event.figure; });
     for (const Note& wish : wishes_) evict(wish.host, wish.count);
     wishes_.clear();
   }
