--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -246,9 +245,7 @@
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     next_relief_ = around_.now + (dead ? kPulse : kRelief);
     const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
-    Note& wish = around_.write(Part::desk, Topic::evict, id_);
-    wish.count = count;
-    wish.event.figure = dead ? 0 : delay_;
+    around_.write(Part::desk, Topic::evict, id_).count = count;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
                 (dead ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
@@ -570,8 +567,7 @@
       case Topic::route: ask(note.event.id, note.hosts); break;
       case Topic::passed: ask(note.event.id, note.hosts); break;
       case Topic::fleet: fleet_ = note.fleet; break;
-      case Topic::evict: wishes_.push_back(note); break;
-      case Topic::pulse: relieve(); break;
+      case Topic::evict: evict(note.host, note.count); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -669,15 +665,6 @@
     if (!held.answered) seek(held);
   }
 
-  // Silent hosts come first, then the least late: they are in time again soonest, and there may not be room
-  // for all.
-  void relieve() {
-    std::stable_sort(wishes_.begin(), wishes_.end(),
-                     [](const Note& a, const Note& b) { return a.event.figure < b.event.figure; });
-    for (const Note& wish : wishes_) evict(wish.host, wish.count);
-    wishes_.clear();
-  }
-
   // Whole groups move together, in an order that every node finds alike, so that a group is paid for at one
   // host and not at two; without groups each connection is one of its own.
   void evict(const std::string& host, int count) {
@@ -788,7 +775,6 @@
   std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
   std::map<std::string, Attachment> held_;
   std::deque<Tenths> times_;  // of the last set-ups that stood
-  std::vector<Note> wishes_;  // of hosts that want to give up connections
   std::deque<Tenths> moved_;  // when connections were moved, over the last second
   Fleet fleet_;
 };
