--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -537,8 +537,8 @@
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
-    if (card.strained) return near ? 6 : 7;
     if (home && !over) return near ? 0 : 3;
+    if (card.strained) return near ? 6 : 7;
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
   }
