--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -238,7 +238,7 @@
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   void relieve() {
     if (fleet_.frozen || around_.now < next_relief_ || card_.open == 0) return;
-    const bool late = card_.strained && delay_ * 2 > shortest_goal();
+    const bool late = card_.strained && delay_ > shortest_goal();
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
     if (!dead && !late) return;
@@ -537,8 +537,8 @@
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
-    if (home && !over) return near ? 0 : 3;
     if (card.strained) return near ? 6 : 7;
+    if (home && !over) return near ? 0 : 3;
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
   }
