--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -39,9 +40,8 @@
 constexpr double kProbeWork = 0.1;            // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;            // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
-constexpr double kInrush = 0;            // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushTrouble = 0.25;  // the same while hosts are late or drop connections
-constexpr double kInrushLeast = 2;       // and no fewer than this, so that an empty fleet fills
+constexpr double kInrush = 0.25;    // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushLeast = 2;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
@@ -186,6 +186,7 @@
     const Event& event = note.event;
     switch (event.kind) {
       case EventKind::handed_over: ++card_.open; break;
+      case EventKind::load_told: card_.load = std::max(0.0, card_.load + event.figure); break;
       case EventKind::established:
         refusals_ = 0;
         setup_at_ = around_.now;
@@ -238,7 +239,7 @@
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   void relieve() {
     if (fleet_.frozen || around_.now < next_relief_ || card_.open == 0) return;
-    const bool late = card_.strained && delay_ > shortest_goal();
+    const bool late = card_.strained && delay_ * 2 > shortest_goal();
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
     if (!dead && !late) return;
@@ -345,7 +346,7 @@
 class Roster {
  public:
   std::deque<Note> inbox;
-  explicit Roster(Surroundings& around) : around_(around), born_(around.now) {}
+  explicit Roster(Surroundings& around) : around_(around) {}
 
   void read(const Note& note) {
     if (note.topic == Topic::card) cards_[note.host] = note.card;
@@ -412,9 +413,7 @@
       }
     }
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
-    const bool fresh =
-        around_.now - born_ < kTroubleHeld;  // without a mean there is nothing to tell a crowd by
-    fleet.crowd_limit = trouble ? kInrushTrouble : fresh ? 0 : kInrush;
+    fleet.crowd_limit = trouble ? kInrush : 0;
     if (near_size > 0) fleet.mean = near_open / near_size;
     if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
@@ -439,7 +438,6 @@
   bool started_ = false, subscribed_ = false, frozen_ = false;
   int losses_ = 0;
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0;
-  Tenths born_;
 };
 
 // The consistent hash ring: says in which order hosts are asked to take an attachment.
@@ -492,9 +490,13 @@
   void answer(const Note& seek) {
     if (stale_) lay();
     const std::string zone = text(around_.settings, "zone");
-    double open = 0, size = 0;
+    double open = 0, size = 0, load = 0;
     for (const auto& [id, card] : cards_)
-      if (card.healthy && card.zone == zone && card.weight > 0.5) open += card.open, size += card.size;
+      if (card.healthy && card.zone == zone && card.weight > 0.5)
+        open += card.open, size += card.size, load += card.load;
+    // Connections differ in load by far: where loads are told a host's count is that of as many of usual
+    // load.
+    const double each = load > 0 ? open / load : 0;
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
     std::set<std::string> seen;
     const std::uint64_t key = key_of(seek.event);
@@ -509,7 +511,7 @@
       // Danger: a host that drops connections is over its end; more of them are dropped too and come again at
       // once.
       if ((card.shedding || card.late) && !seek.event.mid_flow) continue;
-      ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0), at->host);
+      ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0, each), at->host);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -526,7 +528,7 @@
   }
 
   // Lower is asked earlier; within one rank the ring decides.
-  int rank(const Note& seek, const std::string& id, const Card& card, double mean) const {
+  int rank(const Note& seek, const std::string& id, const Card& card, double mean, double each) const {
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id))
       return 9;  // it has failed this attachment already
     if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
@@ -535,10 +537,10 @@
     const bool home =
         seek.homes.count(id) != 0;  // holds some of the group already: the work is paid for there
     const double share = mean * card.size;
-    const bool over =
-        card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
-    if (card.strained) return near ? 6 : 7;
+    const double open = 1 + (each > 0 ? card.load * each : card.open);
+    const bool over = open >= share + kOverBy && open > share * (home ? kHomeOver : kWellOver);
     if (home && !over) return near ? 0 : 3;
+    if (card.strained) return near ? 6 : 7;
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
   }
@@ -598,6 +600,21 @@
     held_.erase(found);
   }
 
+  // Tells the host of the newest try how the load that it bears has changed.
+  void weighs(Attachment& held, double load) {
+    Event event;
+    event.kind = EventKind::load_told;
+    event.figure = load - held.load;
+    held.load = load;
+    tell_host(event, held.tries.back().host);
+  }
+
+  double usual_load(const std::string& traffic_type) const {
+    const auto told = loads_.find(traffic_type);
+    if (told == loads_.end()) return 0;
+    return std::accumulate(told->second.begin(), told->second.end(), 0.0) / told->second.size();
+  }
+
   static bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::turned_away || outcome == Outcome::no_connection ||
            outcome == Outcome::not_sent;
@@ -618,7 +635,13 @@
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
       case EventKind::delay_told: tell_host(event, event.host); break;
-      case EventKind::load_told: held.load = event.figure; break;
+      case EventKind::load_told: {
+        std::deque<double>& told = loads_[held.event.traffic_type];
+        told.push_back(event.figure);
+        if (told.size() > kTimes) told.pop_front();
+        weighs(held, event.figure);
+        break;
+      }
       default: break;
     }
   }
@@ -660,6 +683,7 @@
     if (!last.out) return;
     last.out = false;
     last.may_have_run = !proves_never_ran(event.outcome);
+    if (&last == &held.tries.back()) weighs(held, 0);
     tell_host(event, last.host, held.standing);
     if (event.final || held.standing) held.answered = true;
     if (!held.answered) seek(held);
@@ -738,6 +762,7 @@
   void send(const std::string& id, const std::string& host) {
     Attachment& held = held_[id];
     held.tries.push_back({host, "", around_.now, true, true});
+    weighs(held, usual_load(held.event.traffic_type));
     around_.act(ActionKind::setup_try, id, host, 0, time_out(held));
   }
 
@@ -774,8 +799,9 @@
   Surroundings& around_;
   std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
   std::map<std::string, Attachment> held_;
-  std::deque<Tenths> times_;  // of the last set-ups that stood
-  std::deque<Tenths> moved_;  // when connections were moved, over the last second
+  std::deque<Tenths> times_;                         // of the last set-ups that stood
+  std::map<std::string, std::deque<double>> loads_;  // the last that were told, by traffic type
+  std::deque<Tenths> moved_;                         // when connections were moved, over the last second
   Fleet fleet_;
 };
 
