--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <numeric>
 #include <set>
 #include <utility>
 
@@ -186,7 +185,6 @@
     const Event& event = note.event;
     switch (event.kind) {
       case EventKind::handed_over: ++card_.open; break;
-      case EventKind::load_told: card_.load = std::max(0.0, card_.load + event.figure); break;
       case EventKind::established:
         refusals_ = 0;
         setup_at_ = around_.now;
@@ -490,13 +488,9 @@
   void answer(const Note& seek) {
     if (stale_) lay();
     const std::string zone = text(around_.settings, "zone");
-    double open = 0, size = 0, load = 0;
+    double open = 0, size = 0;
     for (const auto& [id, card] : cards_)
-      if (card.healthy && card.zone == zone && card.weight > 0.5)
-        open += card.open, size += card.size, load += card.load;
-    // Connections differ in load by far: where loads are told a host's count is that of as many of usual
-    // load.
-    const double each = load > 0 ? open / load : 0;
+      if (card.healthy && card.zone == zone && card.weight > 0.5) open += card.open, size += card.size;
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
     std::set<std::string> seen;
     const std::uint64_t key = key_of(seek.event);
@@ -511,7 +505,7 @@
       // Danger: a host that drops connections is over its end; more of them are dropped too and come again at
       // once.
       if ((card.shedding || card.late) && !seek.event.mid_flow) continue;
-      ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0, each), at->host);
+      ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0), at->host);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -528,7 +522,7 @@
   }
 
   // Lower is asked earlier; within one rank the ring decides.
-  int rank(const Note& seek, const std::string& id, const Card& card, double mean, double each) const {
+  int rank(const Note& seek, const std::string& id, const Card& card, double mean) const {
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id))
       return 9;  // it has failed this attachment already
     if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
@@ -537,10 +531,10 @@
     const bool home =
         seek.homes.count(id) != 0;  // holds some of the group already: the work is paid for there
     const double share = mean * card.size;
-    const double open = 1 + (each > 0 ? card.load * each : card.open);
-    const bool over = open >= share + kOverBy && open > share * (home ? kHomeOver : kWellOver);
-    if (home && !over) return near ? 0 : 3;
+    const bool over =
+        card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
     if (card.strained) return near ? 6 : 7;
+    if (home && !over) return near ? 0 : 3;
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
   }
@@ -561,6 +555,11 @@
       if (!around_.settings.count(name + "name")) break;
       traffic_[text(around_.settings, name + "name")] = name;
     }
+    const double nodes = std::max(1.0, number(around_.settings, "nodes", 1));
+    for (int i = 0; around_.settings.count("tenant." + std::to_string(i) + ".name"); ++i) {
+      const double open = number(around_.settings, "tenant_open." + std::to_string(i), 0);
+      if (open > 0) shares_[text(around_.settings, "tenant." + std::to_string(i) + ".name")] = open / nodes;
+    }
   }
 
   void read(const Note& note) {
@@ -600,21 +599,6 @@
     held_.erase(found);
   }
 
-  // Tells the host of the newest try how the load that it bears has changed.
-  void weighs(Attachment& held, double load) {
-    Event event;
-    event.kind = EventKind::load_told;
-    event.figure = load - held.load;
-    held.load = load;
-    tell_host(event, held.tries.back().host);
-  }
-
-  double usual_load(const std::string& traffic_type) const {
-    const auto told = loads_.find(traffic_type);
-    if (told == loads_.end()) return 0;
-    return std::accumulate(told->second.begin(), told->second.end(), 0.0) / told->second.size();
-  }
-
   static bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::turned_away || outcome == Outcome::no_connection ||
            outcome == Outcome::not_sent;
@@ -635,13 +619,7 @@
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
       case EventKind::delay_told: tell_host(event, event.host); break;
-      case EventKind::load_told: {
-        std::deque<double>& told = loads_[held.event.traffic_type];
-        told.push_back(event.figure);
-        if (told.size() > kTimes) told.pop_front();
-        weighs(held, event.figure);
-        break;
-      }
+      case EventKind::load_told: held.load = event.figure; break;
       default: break;
     }
   }
@@ -683,7 +661,6 @@
     if (!last.out) return;
     last.out = false;
     last.may_have_run = !proves_never_ran(event.outcome);
-    if (&last == &held.tries.back()) weighs(held, 0);
     tell_host(event, last.host, held.standing);
     if (event.final || held.standing) held.answered = true;
     if (!held.answered) seek(held);
@@ -734,8 +711,18 @@
     return true;
   }
 
+  // Fairness: what lies beyond a tenant's share gives way first, and only while room is short.
+  bool beyond_share(const Attachment& held) const {
+    const auto share = shares_.find(held.event.tenant);
+    if (share == shares_.end() || fleet_.crowd_limit == 0) return false;
+    double open = 0;
+    for (const auto& [id, other] : held_)
+      if (!other.answered && other.standing && other.event.tenant == held.event.tenant) ++open;
+    return open >= share->second;
+  }
+
   void seek(Attachment& held) {
-    if (!may_be_tried_again(held)) return give_up(held);
+    if (!may_be_tried_again(held) || beyond_share(held)) return give_up(held);
     Note& note = around_.write(Part::ring, Topic::seek);
     note.event = held.event;
     if (held.event.group)
@@ -762,7 +749,6 @@
   void send(const std::string& id, const std::string& host) {
     Attachment& held = held_[id];
     held.tries.push_back({host, "", around_.now, true, true});
-    weighs(held, usual_load(held.event.traffic_type));
     around_.act(ActionKind::setup_try, id, host, 0, time_out(held));
   }
 
@@ -798,10 +784,10 @@
 
   Surroundings& around_;
   std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
+  std::map<std::string, double> shares_;  // a tenant to its open connections at this node, within its share
   std::map<std::string, Attachment> held_;
-  std::deque<Tenths> times_;                         // of the last set-ups that stood
-  std::map<std::string, std::deque<double>> loads_;  // the last that were told, by traffic type
-  std::deque<Tenths> moved_;                         // when connections were moved, over the last second
+  std::deque<Tenths> times_;  // of the last set-ups that stood
+  std::deque<Tenths> moved_;  // when connections were moved, over the last second
   Fleet fleet_;
 };
 
--- a/src/notes.h
+++ b/src/notes.h
@@ -45,7 +45,6 @@
   double score = 100;
   double weight = 1;      // score and ramp together
   int open = 0;           // connections, with set-ups still out
-  double load = 0;        // of its connections, as told or as usual for their traffic type
   bool healthy = false;   // listed and neither draining nor gone
   bool strained = false;  // messages there are slow
   bool late = false;      // so slow that none is in time
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -265,3 +265,27 @@
   fake.pass(300000);
   EXPECT_EQ(fake.arrive("c", 3), home);
 }
+
+TEST(Fairness, WhatLiesBeyondAShareGivesWayOnlyWhileRoomIsShort) {
+  Fake fake;
+  fake.settings["tenant.0.name"] = "guests";
+  fake.settings["tenant_open.0"] = 1.0;
+  fake.start(4);
+  Event event;
+  event.kind = EventKind::attachment;
+  event.tenant = "guests";
+  event.traffic_type = "plain";
+  event.expiry = fake.now + 30000;
+  for (const char* id : {"a", "b"}) {
+    event.id = id;
+    fake.tell(event);
+    EXPECT_FALSE(fake.said(ActionKind::reject)) << "there is room";
+    fake.stand(id);
+  }
+  fake.delay("a", 2000);
+  fake.pass(200);
+  event.id = "c";
+  fake.tell(event);
+  EXPECT_TRUE(fake.said(ActionKind::reject, "c"));
+  EXPECT_NE(fake.arrive("d", 9), "") << "others are not touched";
+}
