--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,9 +40,7 @@
 constexpr std::size_t kTimes = 40;            // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0.25;    // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 6;  // by all nodes together no fewer than this, so that an empty host fills
-constexpr Tenths kInrushSpan =
-    2 * kSecond;  // over which they are counted: a node may be due less than one a second
+constexpr double kInrushLeast = 2;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
@@ -134,17 +132,14 @@
     }
     if (cold()) return cold_sent() + 1 <= cold_budget();
     if (attachment.mid_flow || !fleet_.crowd_limit) return true;
-    const double least = kInrushLeast / std::max(1.0, number(around_.settings, "nodes", 1));
-    const double span = static_cast<double>(kInrushSpan) / kSecond;
-    return lately_sent() + 1 <=
-           std::max(1.0, span * std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size));
+    return lately_sent() < std::max(kInrushLeast, fleet_.crowd_limit * fleet_.mean * card_.size);
   }
 
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
   // part of what hosts usually hold as new work in a second; whoever finds no host is told when to come back.
   double lately_sent() const {
     double sum = 0;
-    for (auto at = sent_.rbegin(); at != sent_.rend() && around_.now - at->first < kInrushSpan; ++at)
+    for (auto at = sent_.rbegin(); at != sent_.rend() && around_.now - at->first < kSecond; ++at)
       if (at->second >= 1) ++sum;
     return sum;
   }
@@ -418,7 +413,9 @@
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     fleet.crowd_limit = trouble ? kInrush : 0;
     if (near_size > 0) fleet.mean = near_open / near_size;
-    if (all_size > 0) fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
+    // Danger: with most of the fleet strained, moved work only scatters groups; none is moved then.
+    if (roomy * 2 > all_size)
+      fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
