--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -43,6 +43,8 @@
 constexpr double kInrushLeast = 2;  // and no fewer than this, so that an empty fleet fills
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
+constexpr double kLeastRoom =
+    0.33;  // with less room than this late hosts still give up as much, to be in time again
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -413,9 +415,9 @@
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     fleet.crowd_limit = trouble ? kInrush : 0;
     if (near_size > 0) fleet.mean = near_open / near_size;
-    // Danger: with most of the fleet strained, moved work only scatters groups; none is moved then.
-    if (roomy * 2 > all_size)
-      fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * roomy / all_size));
+    if (all_size > 0)
+      fleet.spare =
+          static_cast<int>(std::ceil(kSpareShare * all_open * std::max(roomy / all_size, kLeastRoom)));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
@@ -458,23 +460,19 @@
   }
 
  private:
-  struct Point {
-    std::uint64_t at;
-    std::string host;
-    int number;
-    bool operator<(const Point& other) const { return std::tie(at, host) < std::tie(other.at, other.host); }
-  };
-
   int points_of(const Card& card) const {
     return std::max(1, static_cast<int>(std::lround(kPoints * card.size)));
   }
 
   void lay() {
     stale_ = false;
+    places_.clear();
     points_.clear();
-    for (const auto& [id, card] : cards_)
+    for (const auto& [id, card] : cards_) {
       for (int i = 0; i < points_of(card); ++i)
-        points_.push_back({hash(hash(id) + static_cast<unsigned>(i)), id, i});
+        points_.push_back({hash(hash(id) + static_cast<unsigned>(i)), places_.size(), i});
+      places_.push_back({id, &card, 0, false});
+    }
     std::sort(points_.begin(), points_.end());
   }
 
@@ -493,21 +491,26 @@
     double open = 0, size = 0;
     for (const auto& [id, card] : cards_)
       if (card.healthy && card.zone == zone && card.weight > 0.5) open += card.open, size += card.size;
+    std::size_t unseen = 0;  // hosts that have any point now: the walk ends when all of them have been met
+    for (Place& place : places_) {
+      const double weight = seek.event.mid_flow ? 1 : place.card->weight;
+      place.points = static_cast<int>(std::lround(weight * points_of(*place.card)));
+      place.seen = place.points == 0;
+      if (!place.seen) ++unseen;
+    }
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
-    std::set<std::string> seen;
-    const std::uint64_t key = key_of(seek.event);
-    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key, "", 0});
-    for (std::size_t i = 0; i < points_.size(); ++i, ++at) {
+    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key_of(seek.event), 0, 0});
+    for (; unseen > 0; ++at) {
       if (at == points_.end()) at = points_.begin();
-      const Card& card = cards_[at->host];
-      const double weight = seek.event.mid_flow ? 1 : card.weight;
-      if (at->number >= std::lround(weight * points_of(card)) || seen.count(at->host)) continue;
+      Place& place = places_[at->place];
+      if (place.seen || at->number >= place.points) continue;
+      place.seen = true;
+      --unseen;
+      const Card& card = *place.card;
       if (!seek.host.empty() && !drops_repeats(seek, card)) continue;
-      seen.insert(at->host);
-      // Danger: a host that drops connections is over its end; more of them are dropped too and come again at
-      // once.
+      // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
       if ((card.shedding || card.late) && !seek.event.mid_flow) continue;
-      ranked.emplace_back(rank(seek, at->host, card, size > 0 ? open / size : 0), at->host);
+      ranked.emplace_back(rank(seek, place.id, card, size > 0 ? open / size : 0), place.id);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -543,6 +546,7 @@
 
   Surroundings& around_;
   std::map<std::string, Card> cards_;
+  std::vector<Place> places_;
   std::vector<Point> points_;
   bool stale_ = true, frozen_ = false;
 };
@@ -578,21 +582,6 @@
   }
 
  private:
-  struct Try {
-    std::string host, zone;
-    Tenths sent = 0;
-    bool out = true;  // its result has not come
-    bool may_have_run = true;
-  };
-  struct Attachment {
-    Event event;
-    std::string effect, group;
-    std::vector<Try> tries;
-    double load = 0;        // as last told
-    bool standing = false;  // the connection is open
-    bool answered = false;  // ended; kept until its last try's result has come
-  };
-
   void forget(const std::string& id) {
     const auto found = held_.find(id);
     if (found == held_.end() || !found->second.answered) return;
--- a/src/notes.h
+++ b/src/notes.h
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <deque>
 #include <stdexcept>
+#include <tuple>
 #include <utility>
 
 #include "chance.h"
@@ -82,6 +83,35 @@
   bool fresh = false;     // of a listing: new to a list that was known
 };
 
+// What the desk keeps of an attachment, and the ring of its points.
+struct Try {
+  std::string host, zone;
+  Tenths sent = 0;
+  bool out = true;  // its result has not come
+  bool may_have_run = true;
+};
+struct Attachment {
+  Event event;
+  std::string effect, group;
+  std::vector<Try> tries;
+  double load = 0;        // as last told
+  bool standing = false;  // the connection is open
+  bool answered = false;  // ended; kept until its last try's result has come
+};
+
+struct Place {  // a host on the ring
+  std::string id;
+  const Card* card;
+  int points = 0;
+  bool seen = false;
+};
+struct Point {
+  std::uint64_t at;
+  std::size_t place;
+  int number;
+  bool operator<(const Point& other) const { return std::tie(at, place) < std::tie(other.at, other.place); }
+};
+
 struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
   Settings settings;
   Chance chance;
