--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -44,7 +44,8 @@
 constexpr double kSpareShare =
     0.15;  // what hosts with room may take of moved work a second, of what they hold
 constexpr double kLeastRoom =
-    0.33;  // with less room than this late hosts still give up as much, to be in time again
+    0.5;  // with less room than this late hosts still give up as much, to be in time again
+constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -223,6 +224,7 @@
   }
 
   void delayed(double delay) {
+    if (delay <= shortest_goal() || around_.now - strained_at_ > kStrainHeld) late_since_ = around_.now;
     delay_ = delay;
     strained_at_ =
         delay * 3 > shortest_goal() ? around_.now : 0;  // the last note of a spell tells of its end
@@ -243,6 +245,9 @@
     const bool dead =
         !probes_.good && silent_;  // one that answers with errors may well serve what stands there
     if (!dead && !late) return;
+    // Without room anywhere it is worth it only where lateness stays: a short spell ends sooner than a move
+    // pays.
+    if (!dead && fleet_.crowded && around_.now - late_since_ < kLongLate) return;
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     next_relief_ = around_.now + (dead ? kPulse : kRelief);
     const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
@@ -336,7 +341,7 @@
   Signal probes_, setups_;
   int step_ = kTop, refusals_ = 0;
   double delay_ = 0;  // of a message, as last told
-  Tenths next_relief_ = 0, setup_at_ = 0;
+  Tenths next_relief_ = 0, setup_at_ = 0, late_since_ = 0;
   double inherited_ = 100;  // a new host starts at the others' mean
   std::deque<Tenths> flaps_;
   std::deque<std::pair<Tenths, double>> sent_;
@@ -415,6 +420,7 @@
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     fleet.crowd_limit = trouble ? kInrush : 0;
     if (near_size > 0) fleet.mean = near_open / near_size;
+    fleet.crowded = roomy < kLeastRoom * all_size;
     if (all_size > 0)
       fleet.spare =
           static_cast<int>(std::ceil(kSpareShare * all_open * std::max(roomy / all_size, kLeastRoom)));
--- a/src/notes.h
+++ b/src/notes.h
@@ -60,6 +60,7 @@
   double score = 100;      // mean of the others, where a new host starts
   double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
   double mean = 0;         // open connections for a size of 1, in this node's own zone
+  bool crowded = false;    // few hosts, or none, have room
   int spare = 0;           // moved connections that hosts with room may take in a second
   double bears = 0;        // open connections that a warm host of size 1 bears for this node
 };
