--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,6 +46,7 @@
 constexpr double kLeastRoom =
     0.5;  // with less room than this late hosts still give up as much, to be in time again
 constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
+constexpr Tenths kMoveRest = 5 * kSecond;  // a moved group rests: its client and its new host have to settle
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -106,7 +107,7 @@
     started_ = listing.started;
     if (listing.state != HostState::healthy) return leaves(listing.state);
     state_ = HostState::healthy;
-    if (fresh || restarted || cold()) {  // danger: a cold host at full weight falls over
+    if (fresh || restarted || (!known_ && cold())) {  // danger: a cold host at full weight falls over
       step_ = 0;
       step_since_ = around_.now;
       probes_ = setups_ = Signal();
@@ -675,6 +676,10 @@
     for (const auto& [group, members] : groups) {
       // Danger: moved work chases itself from host to host when few have room.
       if (count <= 0 || static_cast<int>(moved_.size()) >= fleet_.spare) break;
+      const auto last =
+          group_moved_.find(group);  // danger: a group chased from host to host is served at none
+      if (last != group_moved_.end() && around_.now - last->second < kMoveRest) continue;
+      group_moved_[group] = around_.now;
       for (Attachment* held : members) {
         held->answered = true;  // the client comes again as a new attachment
         around_.act(ActionKind::move, held->event.id, host);
@@ -783,8 +788,9 @@
   std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
   std::map<std::string, double> shares_;  // a tenant to its open connections at this node, within its share
   std::map<std::string, Attachment> held_;
-  std::deque<Tenths> times_;  // of the last set-ups that stood
-  std::deque<Tenths> moved_;  // when connections were moved, over the last second
+  std::deque<Tenths> times_;                     // of the last set-ups that stood
+  std::map<std::uint64_t, Tenths> group_moved_;  // when a group was last moved
+  std::deque<Tenths> moved_;                     // when connections were moved, over the last second
   Fleet fleet_;
 };
 
