--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,7 +46,6 @@
 constexpr double kLeastRoom =
     0.5;  // with less room than this late hosts still give up as much, to be in time again
 constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
-constexpr Tenths kMoveRest = 5 * kSecond;  // a moved group rests: its client and its new host have to settle
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -252,7 +251,9 @@
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     next_relief_ = around_.now + (dead ? kPulse : kRelief);
     const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
-    around_.write(Part::desk, Topic::evict, id_).count = count;
+    Note& wish = around_.write(Part::desk, Topic::evict, id_);
+    wish.count = count;
+    wish.dead = dead;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
                 (dead ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
@@ -581,7 +582,7 @@
       case Topic::route: ask(note.event.id, note.hosts); break;
       case Topic::passed: ask(note.event.id, note.hosts); break;
       case Topic::fleet: fleet_ = note.fleet; break;
-      case Topic::evict: evict(note.host, note.count); break;
+      case Topic::evict: evict(note.host, note.count, note.dead); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -666,7 +667,7 @@
 
   // Whole groups move together, in an order that every node finds alike, so that a group is paid for at one
   // host and not at two; without groups each connection is one of its own.
-  void evict(const std::string& host, int count) {
+  void evict(const std::string& host, int count, bool dead) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     std::map<std::uint64_t, std::vector<Attachment*>> groups;
     for (auto& [id, held] : held_)
@@ -675,11 +676,7 @@
             &held);
     for (const auto& [group, members] : groups) {
       // Danger: moved work chases itself from host to host when few have room.
-      if (count <= 0 || static_cast<int>(moved_.size()) >= fleet_.spare) break;
-      const auto last =
-          group_moved_.find(group);  // danger: a group chased from host to host is served at none
-      if (last != group_moved_.end() && around_.now - last->second < kMoveRest) continue;
-      group_moved_[group] = around_.now;
+      if (count <= 0 || (!dead && static_cast<int>(moved_.size()) >= fleet_.spare)) break;
       for (Attachment* held : members) {
         held->answered = true;  // the client comes again as a new attachment
         around_.act(ActionKind::move, held->event.id, host);
@@ -788,9 +785,8 @@
   std::map<std::string, std::string> traffic_;  // traffic type to the prefix of its settings
   std::map<std::string, double> shares_;  // a tenant to its open connections at this node, within its share
   std::map<std::string, Attachment> held_;
-  std::deque<Tenths> times_;                     // of the last set-ups that stood
-  std::map<std::uint64_t, Tenths> group_moved_;  // when a group was last moved
-  std::deque<Tenths> moved_;                     // when connections were moved, over the last second
+  std::deque<Tenths> times_;  // of the last set-ups that stood
+  std::deque<Tenths> moved_;  // when connections were moved, over the last second
   Fleet fleet_;
 };
 
