--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -251,9 +251,7 @@
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     next_relief_ = around_.now + (dead ? kPulse : kRelief);
     const int count = static_cast<int>(std::ceil(card_.open * (dead ? 4 * kReliefShare : kReliefShare)));
-    Note& wish = around_.write(Part::desk, Topic::evict, id_);
-    wish.count = count;
-    wish.dead = dead;
+    around_.write(Part::desk, Topic::evict, id_).count = count;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
                 (dead ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
@@ -541,13 +539,13 @@
     if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
     if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
     const bool near = card.zone == text(around_.settings, "zone");
-    const bool home =
-        seek.homes.count(id) != 0;  // holds some of the group already: the work is paid for there
+    const auto held = seek.homes.find(id);  // holds some of the group already: the work is paid for there
+    const bool home = held != seek.homes.end();
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
     if (card.strained) return near ? 6 : 7;
-    if (home && !over) return near ? 0 : 3;
+    if (home && !over) return near ? -held->second : 3;  // most of the group first: strays do not grow
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
   }
@@ -582,7 +580,7 @@
       case Topic::route: ask(note.event.id, note.hosts); break;
       case Topic::passed: ask(note.event.id, note.hosts); break;
       case Topic::fleet: fleet_ = note.fleet; break;
-      case Topic::evict: evict(note.host, note.count, note.dead); break;
+      case Topic::evict: evict(note.host, note.count); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -667,7 +665,7 @@
 
   // Whole groups move together, in an order that every node finds alike, so that a group is paid for at one
   // host and not at two; without groups each connection is one of its own.
-  void evict(const std::string& host, int count, bool dead) {
+  void evict(const std::string& host, int count) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     std::map<std::uint64_t, std::vector<Attachment*>> groups;
     for (auto& [id, held] : held_)
@@ -676,7 +674,7 @@
             &held);
     for (const auto& [group, members] : groups) {
       // Danger: moved work chases itself from host to host when few have room.
-      if (count <= 0 || (!dead && static_cast<int>(moved_.size()) >= fleet_.spare)) break;
+      if (count <= 0 || static_cast<int>(moved_.size()) >= fleet_.spare) break;
       for (Attachment* held : members) {
         held->answered = true;  // the client comes again as a new attachment
         around_.act(ActionKind::move, held->event.id, host);
--- a/src/notes.h
+++ b/src/notes.h
@@ -82,7 +82,6 @@
   int count = 0;
   bool standing = false;  // of a result: the connection had been established
   bool fresh = false;     // of a listing: new to a list that was known
-  bool dead = false;      // of a wish to give up connections: the host answers nothing
 };
 
 // What the desk keeps of an attachment, and the ring of its points.
