--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -539,13 +539,13 @@
     if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
     if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
     const bool near = card.zone == text(around_.settings, "zone");
-    const auto held = seek.homes.find(id);  // holds some of the group already: the work is paid for there
-    const bool home = held != seek.homes.end();
+    const bool home =
+        seek.homes.count(id) != 0;  // holds some of the group already: the work is paid for there
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
     if (card.strained) return near ? 6 : 7;
-    if (home && !over) return near ? -held->second : 3;  // most of the group first: strays do not grow
+    if (home && !over) return near ? 0 : 3;
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
   }
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -292,3 +292,18 @@
   EXPECT_FALSE(fake.moved.empty()) << "a host far over its end serves nobody";
   EXPECT_LT(fake.moved.size(), 12u);
 }
+
+TEST(Cold, AnEntryRepeatedWhileAHostIsColdDoesNotSendItsClimbBack) {
+  Fake fake;
+  fake.start(2);
+  const Tenths started = fake.now;
+  fake.list(Fake::listing("new", "near", started), HostState::healthy);
+  for (int i = 0; i < 9; ++i) {
+    fake.pass(10000);
+    fake.list(Fake::listing("new", "near", started), HostState::healthy);
+  }
+  bool used = false;
+  for (int i = 0; i < 40; ++i, fake.now += 10000)
+    used = fake.arrive("a" + std::to_string(i), i) == "new" || used;
+  EXPECT_TRUE(used);
+}
