--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -455,7 +455,7 @@
   explicit Ring(Surroundings& around) : around_(around) {}
 
   void read(const Note& note) {
-    if (note.topic == Topic::fleet) frozen_ = note.fleet.frozen, crowded_ = note.fleet.crowded;
+    if (note.topic == Topic::fleet) frozen_ = note.fleet.frozen;
     if (note.topic == Topic::seek) answer(note);
     if (note.topic != Topic::card) return;
     const auto found = cards_.find(note.host);
@@ -544,7 +544,6 @@
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
-    if (crowded_) return near ? 0 : 3;  // the bare ring: all nodes put a group at the same host
     if (card.strained) return near ? 6 : 7;
     if (home && !over) return near ? 0 : 3;
     if (near) return over ? 2 : 1;
@@ -555,7 +554,7 @@
   std::map<std::string, Card> cards_;
   std::vector<Place> places_;
   std::vector<Point> points_;
-  bool stale_ = true, frozen_ = false, crowded_ = false;
+  bool stale_ = true, frozen_ = false;
 };
 
 // Holds the attachments: their tries, their expiry and their one final answer.
