--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,6 +46,7 @@
 constexpr double kLeastRoom =
     0.5;  // with less room than this late hosts still give up as much, to be in time again
 constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
+constexpr Tenths kCapHeld = 10 * kSecond;  // a host that was late is not filled up again for this long
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
@@ -134,6 +135,9 @@
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
     if (cold()) return cold_sent() + 1 <= cold_budget();
+    // Danger: a host in time again is filled to where it was late before, and nobody there is served.
+    const bool capped = cap_at_ > 0 && around_.now - cap_at_ < kCapHeld;
+    if (capped && !attachment.mid_flow && card_.open >= cap_) return false;
     if (attachment.mid_flow || !fleet_.crowd_limit) return true;
     return lately_sent() < std::max(kInrushLeast, fleet_.crowd_limit * fleet_.mean * card_.size);
   }
@@ -226,8 +230,8 @@
   void delayed(double delay) {
     if (delay <= shortest_goal() || around_.now - strained_at_ > kStrainHeld) late_since_ = around_.now;
     delay_ = delay;
-    strained_at_ =
-        delay * 3 > shortest_goal() ? around_.now : 0;  // the last note of a spell tells of its end
+    if (delay > shortest_goal()) cap_at_ = around_.now, cap_ = card_.open;
+    strained_at_ = delay * 3 > shortest_goal() ? around_.now : 0;  // the last note tells of the end
   }
 
   double shortest_goal() const {
@@ -341,7 +345,8 @@
   Signal probes_, setups_;
   int step_ = kTop, refusals_ = 0;
   double delay_ = 0;  // of a message, as last told
-  Tenths next_relief_ = 0, setup_at_ = 0, late_since_ = 0;
+  Tenths next_relief_ = 0, setup_at_ = 0, late_since_ = 0, cap_at_ = 0;
+  int cap_ = 0;             // what it held when it was last late
   double inherited_ = 100;  // a new host starts at the others' mean
   std::deque<Tenths> flaps_;
   std::deque<std::pair<Tenths, double>> sent_;
@@ -539,8 +544,7 @@
     if (seek.event.mid_flow) return card.zone == text(around_.settings, "zone") ? 0 : 1;
     if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
     const bool near = card.zone == text(around_.settings, "zone");
-    const bool home =
-        seek.homes.count(id) != 0;  // holds some of the group already: the work is paid for there
+    const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -307,3 +307,18 @@
     used = fake.arrive("a" + std::to_string(i), i) == "new" || used;
   EXPECT_TRUE(used);
 }
+
+TEST(Crowds, AHostThatWasLateTakesNoMoreThanItHeldThen) {
+  Fake fake;
+  fake.start(1);
+  for (int i = 0; i < 4; ++i, fake.now += 10000) {
+    fake.arrive("a" + std::to_string(i), i);
+    fake.stand("a" + std::to_string(i));
+  }
+  fake.delay("a0", 600);
+  fake.delay("a0", 10);
+  EXPECT_EQ(fake.arrive("more", 9), "");
+  EXPECT_TRUE(fake.said(ActionKind::reject, "more"));
+  fake.pass(110000);
+  EXPECT_NE(fake.arrive("later", 9), "");
+}
