--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,7 +46,7 @@
 constexpr double kLeastRoom =
     0.5;  // with less room than this late hosts still give up as much, to be in time again
 constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
-constexpr Tenths kCapHeld = 10 * kSecond;  // a host that was late is not filled up again for this long
+constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare =
     0.15;  // of its connections: a few steps clear a host, one step overshoots little
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -319,6 +319,6 @@
   fake.delay("a0", 10);
   EXPECT_EQ(fake.arrive("more", 9), "");
   EXPECT_TRUE(fake.said(ActionKind::reject, "more"));
-  fake.pass(110000);
+  fake.pass(310000);
   EXPECT_NE(fake.arrive("later", 9), "");
 }
