--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -230,7 +230,7 @@
   void delayed(double delay) {
     if (delay <= shortest_goal() || around_.now - strained_at_ > kStrainHeld) late_since_ = around_.now;
     delay_ = delay;
-    if (delay > shortest_goal()) cap_at_ = around_.now, cap_ = card_.open * 9 / 10;
+    if (delay > shortest_goal()) cap_at_ = around_.now, cap_ = card_.open;
     strained_at_ = delay * 3 > shortest_goal() ? around_.now : 0;  // the last note tells of the end
   }
 
