Remove dead code from the module; behaviour the same to the byte

Gone: a second forgetting of answered attachments in Desk::give_up (Desk::forget does it after every note), an unread load of an attachment and zone of a try, a pulse note that the desk ignored, counts of a group's members a host that nobody read.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -620,7 +620,6 @@
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
       case EventKind::delay_told: tell_host(event, event.host); break;
-      case EventKind::load_told: held.load = event.figure; break;
       default: break;
     }
   }
@@ -639,7 +638,7 @@
     held.group = found == traffic_.end() ? "" : text(around_.settings, found->second + "repeat_group");
     if (event.kind == EventKind::handed_over) {
       held.standing = true;
-      held.tries.push_back({event.host, "", around_.now, true, true});
+      held.tries.push_back({event.host, around_.now, true, true});
       tell_host(event, event.host);
     }
     held_[event.id] = held;
@@ -729,7 +728,7 @@
     if (held.event.group)
       for (const auto& [id, other] : held_)
         if (other.standing && !other.answered && other.event.group == held.event.group)
-          ++note.homes[other.tries.back().host];
+          note.homes.insert(other.tries.back().host);
     for (const Try& earlier : held.tries) {
       note.hosts.push_back(earlier.host);
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
@@ -749,7 +748,7 @@
 
   void send(const std::string& id, const std::string& host) {
     Attachment& held = held_[id];
-    held.tries.push_back({host, "", around_.now, true, true});
+    held.tries.push_back({host, around_.now, true, true});
     around_.act(ActionKind::setup_try, id, host, 0, time_out(held));
   }
 
@@ -768,7 +767,7 @@
 
   void give_up(Attachment& held) {
     if (held.answered) return;
-    const std::string id = held.event.id;
+    const std::string& id = held.event.id;
     held.answered = true;
     if (may_be_rejected(held)) {
       Tenths back = 0;
@@ -779,8 +778,6 @@
     } else {
       around_.act(ActionKind::scrap, id, "");
     }
-    if (std::none_of(held.tries.begin(), held.tries.end(), [](const Try& t) { return t.out; }))
-      held_.erase(id);
   }
 
   Surroundings& around_;
@@ -824,7 +821,6 @@
         if (event.number != kPulseAlarm) break;
         around.act(ActionKind::set_alarm, "", "", kPulseAlarm, kPulse);
         post(Part::roster, Topic::pulse, event);
-        post(Part::desk, Topic::pulse, event);
         for (const auto& [id, host] : hosts) post(Part::host, Topic::pulse, event, id);
         break;
       default: post(Part::desk, Topic::event, event); break;
--- a/src/notes.h
+++ b/src/notes.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <cmath>
 #include <deque>
+#include <set>
 #include <stdexcept>
 #include <tuple>
 #include <utility>
@@ -76,9 +77,9 @@
   Listing listing;
   Card card;
   Fleet fleet;
-  std::vector<std::string> hosts;    // of a seek: those tried already; of a route: in the order to ask
-  std::map<std::string, int> homes;  // of a seek: the hosts that hold some of its group, and how many
-  std::string within;                // of a seek: "zone" or "cell" of `host`, where repeats are dropped
+  std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
+  std::set<std::string> homes;     // of a seek: the hosts that hold some of its group
+  std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
   int count = 0;
   bool standing = false;  // of a result: the connection had been established
   bool fresh = false;     // of a listing: new to a list that was known
@@ -86,7 +87,7 @@
 
 // What the desk keeps of an attachment, and the ring of its points.
 struct Try {
-  std::string host, zone;
+  std::string host;
   Tenths sent = 0;
   bool out = true;  // its result has not come
   bool may_have_run = true;
@@ -95,7 +96,6 @@
   Event event;
   std::string effect, group;
   std::vector<Try> tries;
-  double load = 0;        // as last told
   bool standing = false;  // the connection is open
   bool answered = false;  // ended; kept until its last try's result has come
 };
