--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -243,11 +243,13 @@
   void relieve() {
     if (!relieves() || around_.now < next_relief_) return;
     const bool begins = around_.now - next_relief_ > kStrainHeld;
+    if (begins) relief_since_ = around_.now;
     // Without room anywhere it is worth it only where lateness stays: a short spell ends sooner than it pays.
     if (fleet_.frozen || (!dead() && fleet_.crowded && around_.now - late_since_ < kLongLate)) return;
     next_relief_ = around_.now + (dead() ? kPulse : kRelief);
     Note& note = around_.write(Part::desk, Topic::evict, id_);
-    note.count = static_cast<int>(std::ceil(card_.open * (dead() ? 4 * kReliefShare : kReliefShare)));
+    const Tenths steps = (around_.now - relief_since_) / kRelief + 1;
+    note.part = dead() ? 1 : 1 - std::pow(1 - kReliefShare, steps);
     note.fleet = fleet_;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
@@ -336,7 +338,8 @@
   HostState state_ = HostState::gone;
   bool known_ = false, probe_out_ = false;
   bool silent_ = false;  // the last probe had no answer at all
-  Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0;
+  Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0,
+         relief_since_ = 0;
   Signal probes_, setups_;
   int step_ = kTop, refusals_ = 0;
   double delay_ = 0;  // of a message, as last told
@@ -609,7 +612,7 @@
       case Topic::event: happened(note.event); break;
       case Topic::route:
       case Topic::passed: ask(note); break;
-      case Topic::evict: evict(note.host, note.count, note.fleet.spare); break;
+      case Topic::evict: evict(note.host, note.part, note.fleet.spare); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -686,24 +689,20 @@
     if (!held.answered) seek(held);
   }
 
-  // Whole groups move together, in an order that every node finds alike, so that a group is paid for at one
-  // host and not at two; without groups each connection is one of its own.
-  void evict(const std::string& host, int count, int spare) {
+  // Whole groups move together, the same at every node, so that a group is paid for at one host and not at
+  // two; without groups each connection is one of its own. Danger: a least of one at each of many nodes
+  // clears a host at a stroke. A group's own hash says when it goes.
+  void evict(const std::string& host, double part, int spare) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
-    std::map<std::uint64_t, std::vector<Attachment*>> groups;
-    for (auto& [id, held] : held_)
-      if (held.standing && !held.answered && held.tries.back().host == host)
-        groups[held.event.group ? hash(static_cast<std::uint64_t>(*held.event.group)) : hash(id)].push_back(
-            &held);
-    for (const auto& [group, members] : groups) {
+    for (auto& [id, held] : held_) {
+      if (!held.standing || held.answered || held.tries.back().host != host) continue;
+      const auto group = hash(held.event.group ? static_cast<std::uint64_t>(*held.event.group) : hash(id));
+      if (static_cast<double>(hash(group ^ hash(host)) >> 32) >= part * 4294967296.0) continue;
       // Danger: moved work chases itself from host to host when few have room.
-      if (count <= 0 || static_cast<int>(moved_.size()) >= spare) break;
-      for (Attachment* held : members) {
-        held->answered = true;  // the client comes again as a new attachment
-        around_.act(ActionKind::move, held->event.id, host);
-        moved_.push_back(around_.now);
-        --count;
-      }
+      if (static_cast<int>(moved_.size()) >= spare) return;
+      held.answered = true;  // the client comes again as a new attachment
+      around_.act(ActionKind::move, id, host);
+      moved_.push_back(around_.now);
     }
   }
 
--- a/src/notes.h
+++ b/src/notes.h
@@ -93,9 +93,9 @@
   std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
   std::set<std::string> homes;     // of a seek: the hosts that hold some of its group
   std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
-  int count = 0;
-  bool standing = false;  // of a result: the connection had been established
-  bool fresh = false;     // of a listing: new to a list that was known
+  double part = 0;                 // of an eviction: the part of the host's groups that is to go
+  bool standing = false;           // of a result: the connection had been established
+  bool fresh = false;              // of a listing: new to a list that was known
 };
 
 // What the desk keeps of an attachment, and the ring of its points.
