--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,6 +30,7 @@
 constexpr Tenths kProbeEvery = 1500 * kMs;            // steady probes of a node, at the most so often
 constexpr Tenths kProbeShared = 500 * kMs;            // and of all nodes together for one host
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
+constexpr Tenths kHurryShared = 50 * kMs;             // and of all nodes together that may be in doubt
 constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
 constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
@@ -78,7 +79,8 @@
   std::deque<Note> inbox;
 
   Host(Surroundings& around, std::string id) : around_(around), id_(std::move(id)) {
-    next_probe_ = around_.now + static_cast<Tenths>(around_.chance.share() * probe_interval());
+    next_probe_ =
+        around_.now + static_cast<Tenths>(around_.chance.share() * probe_interval(kProbeEvery, kProbeShared));
   }
 
   void read(const Note& note) {
@@ -258,7 +260,8 @@
 
   void result(Signal& signal, bool good) {
     const bool turned = signal.add(good);
-    if (!good) next_probe_ = std::min(next_probe_, around_.now + kProbeHurry / 2);
+    if (!good)
+      next_probe_ = std::min(next_probe_, around_.now + probe_interval(kProbeHurry, kHurryShared) / 2);
     if (turned) {
       around_.log("host " + id_ + (&signal == &probes_ ? " probes " : " set-ups ") + (good ? "good" : "bad") +
                   ", share good " + figure(signal.share()) + ", score " + figure(score()));
@@ -304,15 +307,16 @@
   }
 
   // Danger: probes of many nodes add up to more work than the attachments; they share one rate a host.
-  Tenths probe_interval() const {
-    return std::max(kProbeEvery, static_cast<Tenths>(kProbeShared * nodes(around_.settings)));
+  Tenths probe_interval(Tenths own, Tenths shared) const {
+    return std::max(own, static_cast<Tenths>(shared * nodes(around_.settings)));
   }
 
   void probe() {
     if (!may_be_probed() || around_.now < next_probe_) return;
     const bool hurry = probes_.in_doubt() || setups_.in_doubt();
     probe_out_ = true;
-    next_probe_ = around_.now + (hurry ? kProbeHurry : probe_interval());
+    next_probe_ = around_.now + (hurry ? probe_interval(kProbeHurry, kHurryShared)
+                                       : probe_interval(kProbeEvery, kProbeShared));
     sends(kProbeWork);
     around_.act(ActionKind::probe, "", id_);
   }
