--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -5,6 +5,7 @@
 #include "choice.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <deque>
 #include <set>
@@ -32,7 +33,6 @@
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 50 * kMs;             // and of all nodes together that may be in doubt
 constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
-constexpr int kTurns = 3;           // other hosts that a group's returning clients are spread over
 constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
@@ -554,9 +554,9 @@
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
     std::size_t good = 0, homes = seek.homes.size();
     // Danger: a client cut off at its group's host comes to a node that knows nothing of it and is sent there
-    // again. One that comes back is placed where another key would put the group, one of a few.
-    const std::uint64_t turn =
-        seek.event.returned && !seek.event.mid_flow ? 1 + hash(seek.event.id) % kTurns : 0;
+    // again. Of those that come back half go to the group's second host, a quarter to its third, and so on.
+    const bool returns = seek.event.returned && !seek.event.mid_flow;
+    const auto turn = returns ? static_cast<unsigned>(std::countr_one(hash(seek.event.id))) : 0;
     auto at = std::lower_bound(points_.begin(), points_.end(), Point{hash(key_of(seek.event) + turn), 0, 0});
     for (; unseen > 0 && (good < kEnough || homes > 0); ++at) {
       if (at == points_.end()) at = points_.begin();
