--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -5,7 +5,6 @@
 #include "choice.h"
 
 #include <algorithm>
-#include <bit>
 #include <cmath>
 #include <deque>
 #include <set>
@@ -43,6 +42,7 @@
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0.25;      // new connections a second for one host, of the mean that hosts hold
 constexpr double kInrushLeast = 2;    // and no fewer than this, so that an empty fleet fills
+constexpr double kInrushAll = 6;      // that least for all nodes together: leasts of many nodes add up
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
 constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
@@ -144,7 +144,9 @@
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
   // part of what hosts usually hold as new work in a second; whoever finds no host is told when to come back.
   bool crowd_allows() const {
-    return sent_within(kSecond, 1) < std::max(kInrushLeast, fleet_.crowd_limit * fleet_.mean * card_.size);
+    const double least = std::min(kInrushLeast, kInrushAll / nodes(around_.settings));
+    const double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
+    return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
   // Danger: all nodes together push a cold host over. Each node keeps to its own part of what the host can
@@ -553,11 +555,7 @@
     }
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
     std::size_t good = 0, homes = seek.homes.size();
-    // Danger: a client cut off at its group's host comes to a node that knows nothing of it and is sent there
-    // again. Of those that come back half go to the group's second host, a quarter to its third, and so on.
-    const bool returns = seek.event.returned && !seek.event.mid_flow;
-    const auto turn = returns ? static_cast<unsigned>(std::countr_one(hash(seek.event.id))) : 0;
-    auto at = std::lower_bound(points_.begin(), points_.end(), Point{hash(key_of(seek.event) + turn), 0, 0});
+    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key_of(seek.event), 0, 0});
     for (; unseen > 0 && (good < kEnough || homes > 0); ++at) {
       if (at == points_.end()) at = points_.begin();
       Place& place = places_[at->place];
