--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -5,6 +5,7 @@
 #include "choice.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <deque>
 #include <set>
@@ -32,6 +33,7 @@
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 50 * kMs;             // and of all nodes together that may be in doubt
 constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
+constexpr double kPieces = 3;       // pieces of groups a host should have, so that they even out
 constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
@@ -534,18 +536,27 @@
 
   // The client key. Where connections of a group share work the group stands in for it: each host that holds
   // any of a group pays for it, and client keys would spread it over all hosts. Without either, the id.
-  static std::uint64_t key_of(const Event& event) {
-    if (event.group) return hash(static_cast<std::uint64_t>(*event.group));
-    if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
-    return hash(event.id);
+  static std::uint64_t key_of(const Event& event, std::uint64_t pieces) {
+    const auto own = event.key ? hash(static_cast<std::uint64_t>(*event.key)) : hash(event.id);
+    return event.group ? hash(hash(static_cast<std::uint64_t>(*event.group)) + own % pieces) : own;
+  }
+
+  // Danger: where groups are few beside hosts, whole groups fill some hosts and leave others idle. The more
+  // often two attachments held here are of one group, the more pieces each group falls into.
+  static std::uint64_t pieces(const Note& seek, double hosts) {
+    const double wanted = kPieces * hosts;
+    const double part = (seek.alike + 1) / (seek.pairs + wanted / 2);  // nothing seen yet: two pieces
+    return std::bit_floor(static_cast<std::uint64_t>(std::max(1.0, wanted * part * std::sqrt(2.0))));
   }
 
   void answer(const Note& seek) {
     if (stale_) lay();
     const std::string zone = text(around_.settings, "zone");
-    double open = 0, size = 0;
+    double open = 0, size = 0, hosts = 0;
     for (const auto& [id, card] : cards_)
-      if (card.healthy && card.zone == zone && card.weight > 0.5) open += card.open, size += card.size;
+      if (card.healthy && card.zone == zone && card.weight > 0.5)
+        open += card.open, size += card.size, ++hosts;
+    const std::uint64_t pieces = Ring::pieces(seek, hosts);
     std::size_t unseen = 0;  // hosts that have any point now: the walk ends when all of them have been met
     for (Place& place : places_) {
       const double weight = seek.event.mid_flow ? 1 : place.card->weight;
@@ -554,20 +565,21 @@
       if (!place.seen) ++unseen;
     }
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
-    std::size_t good = 0, homes = seek.homes.size();
-    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key_of(seek.event), 0, 0});
+    std::size_t good = 0, homes = pieces > 1 ? 0 : seek.homes.size();
+    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key_of(seek.event, pieces), 0, 0});
     for (; unseen > 0 && (good < kEnough || homes > 0); ++at) {
       if (at == points_.end()) at = points_.begin();
       Place& place = places_[at->place];
       if (place.seen || at->number >= place.points) continue;
       place.seen = true;
       --unseen;
-      if (seek.homes.count(place.id)) --homes;
+      const bool home = pieces == 1 && seek.homes.count(place.id) != 0;  // the group's work is paid for there
+      if (home) --homes;
       const Card& card = *place.card;
       if (!seek.host.empty() && !drops_repeats(seek, card)) continue;
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
       if (std::max(card.shedding, card.late) > around_.now && !seek.event.mid_flow) continue;
-      ranked.emplace_back(rank(seek, place.id, card, size > 0 ? open / size : 0), place.id);
+      ranked.emplace_back(rank(seek, place.id, card, home, size > 0 ? open / size : 0), place.id);
       if (ranked.back().first <= 1) ++good;
     }
     std::stable_sort(ranked.begin(), ranked.end(),
@@ -586,12 +598,11 @@
   }
 
   // Lower is asked earlier; within one rank the ring decides.
-  int rank(const Note& seek, const std::string& id, const Card& card, double mean) const {
+  int rank(const Note& seek, const std::string& id, const Card& card, bool home, double mean) const {
     const bool near = card.zone == text(around_.settings, "zone");
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
     if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
-    const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
     const double share = mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
@@ -749,10 +760,13 @@
     if (!may_be_tried_again(held)) return give_up(held);
     Note& note = around_.write(Part::roster, Topic::seek);
     note.event = held.event;
-    if (held.event.group)
-      for (const auto& [id, other] : held_)
-        if (other.standing && !other.answered && other.event.group == held.event.group)
-          note.homes.insert(other.tries.back().host);
+    std::map<std::int64_t, double> sizes;
+    for (const auto& [id, other] : held_) {
+      if (!held.event.group || !other.event.group || !other.standing || other.answered) continue;
+      note.pairs += static_cast<double>(note.count++);
+      note.alike += sizes[*other.event.group]++;
+      if (other.event.group == held.event.group) note.homes.insert(other.tries.back().host);
+    }
     for (const Try& earlier : held.tries) {
       note.hosts.push_back(earlier.host);
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
--- a/src/notes.h
+++ b/src/notes.h
@@ -93,6 +93,8 @@
   std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
   std::set<std::string> homes;     // of a seek: the hosts that hold some of its group
   std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
+  int count = 0;                   // of a seek: attachments of groups held here,
+  double pairs = 0, alike = 0;     // pairs of them, and pairs of one group
   double part = 0;                 // of an eviction: the part of the host's groups that is to go
   bool standing = false;           // of a result: the connection had been established
   bool fresh = false;              // of a listing: new to a list that was known
