--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -5,7 +5,6 @@
 #include "choice.h"
 
 #include <algorithm>
-#include <bit>
 #include <cmath>
 #include <deque>
 #include <set>
@@ -33,7 +32,8 @@
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 50 * kMs;             // and of all nodes together that may be in doubt
 constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
-constexpr double kPieces = 3;       // pieces of groups a host should have, so that they even out
+constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
+constexpr double kFull = 0.6;       // of capacity: messages begin to wait there
 constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
@@ -177,17 +177,41 @@
     while (sent_.size() > 400) sent_.pop_front();
   }
 
+  // Danger: at a node that probes a host once in minutes neither signal nor report tells of now. A host whose
+  // last probe is older than a steady one would be is probed first; the attachment goes on with the answer.
+  bool looks_first(const Note& note) const {
+    return !note.event.mid_flow && number(around_.settings, "report.load", -1) >= 0 && note.looks < kLooks &&
+           !recent() && (probe_out_ || may_be_probed());
+  }
+  bool recent() const { return around_.now - probed_at_ <= kProbeEvery; }
+
   void offered(const Note& note) {
     const bool may = may_be_sent(note.event);
-    Note& answer = around_.write(Part::desk, may ? Topic::taken : Topic::passed, id_);
-    answer.event = note.event;
-    answer.hosts = note.hosts;
-    answer.fleet = note.fleet;
-    if (!may) return;
+    if (may && looks_first(note)) {
+      waiting_.push_back(note);
+      next_probe_ = around_.now;
+      return probe();
+    }
+    const bool full = recent() && load_ > kFull && note.looks < kLooks;
+    around_.pass_on(note, Part::desk, may && !full ? Topic::taken : Topic::passed).looks += may ? 1 : 0;
+    if (!may || full) return;
     sends(1);
     ++card_.open;
   }
 
+  void looked(const Event& event) {
+    probe_out_ = false;
+    probed_at_ = around_.now;
+    const double at = number(around_.settings, "report.load", -1);
+    const bool told = at >= 0 && at < static_cast<double>(event.report.size());
+    load_ = told ? event.report[static_cast<std::size_t>(at)] : 0;
+    for (Note& note : std::exchange(waiting_, {})) {
+      if (event.outcome != Outcome::honoured) ++note.looks;
+      else note.hosts.insert(note.hosts.begin(), id_);  // asked once more
+      around_.pass_on(note, Part::desk, Topic::passed);
+    }
+  }
+
   void happened(const Note& note) {
     const Event& event = note.event;
     switch (event.kind) {
@@ -200,7 +224,7 @@
       case EventKind::try_ended: ended(event, note.standing); break;
       case EventKind::delay_told: delayed(event.figure); break;
       case EventKind::probe_ended:
-        probe_out_ = false;
+        looked(event);
         silent_ = event.outcome == Outcome::no_answer || event.outcome == Outcome::no_connection;
         result(probes_, event.outcome == Outcome::honoured);
         // Danger: a host without set-ups is never heard well of again, gets none, and stays out for ever.
@@ -355,6 +379,9 @@
   Tenths next_relief_ = 0, setup_at_ = 0, late_since_ = 0, cap_at_ = 0;
   int cap_ = 0;             // what it held when it was last late
   double inherited_ = 100;  // a new host starts at the others' mean
+  Tenths probed_at_ = -kNever;
+  double load_ = 0;            // over capacity, as last reported
+  std::vector<Note> waiting_;  // offers that wait for a probe
   std::deque<Tenths> flaps_;
   std::deque<std::pair<Tenths, double>> sent_;
 };
@@ -370,10 +397,8 @@
     if (note.topic == Topic::event) list(note.event);
     if (note.topic == Topic::pulse) pulse();
     if (note.topic == Topic::seek) {
-      Note& on = around_.write(Part::ring, Topic::seek);
-      on = note;
-      on.to = Part::ring;
-      on.fleet = figures();
+      const Fleet fleet = figures();
+      around_.pass_on(note, Part::ring, Topic::seek).fleet = fleet;
     }
     set_alarm();
   }
@@ -464,8 +489,8 @@
       if (card.late > around_.now || card.shedding > around_.now) trouble_at_ = around_.now;
       all_open += card.open;
       all_size += card.size;
-      if (card.zone == zone) near_open += card.open, near_size += card.size;
       if (card.weight <= 0.5) continue;
+      if (card.zone == zone) near_open += card.open, near_size += card.size;
       if (card.strained <= around_.now) roomy += card.size;
       if (card.cold <= around_.now) open += card.open, size += card.size;
     }
@@ -520,73 +545,34 @@
     return std::max(1, static_cast<int>(std::lround(kPoints * card.size)));
   }
 
-  void lay() {
-    stale_ = false;
-    places_.clear();
-    points_.clear();
-    for (const auto& [id, card] : cards_) {
-      const auto place = static_cast<std::uint32_t>(places_.size());
-      const std::uint64_t start = hash(id);
-      for (int i = 0; i < points_of(card); ++i)
-        points_.push_back({hash(start + static_cast<unsigned>(i)), place, i});
-      places_.push_back({id, &card});
-    }
-    std::sort(points_.begin(), points_.end());
-  }
-
   // The client key. Where connections of a group share work the group stands in for it: each host that holds
   // any of a group pays for it, and client keys would spread it over all hosts. Without either, the id.
-  static std::uint64_t key_of(const Event& event, std::uint64_t pieces) {
-    const auto own = event.key ? hash(static_cast<std::uint64_t>(*event.key)) : hash(event.id);
-    return event.group ? hash(hash(static_cast<std::uint64_t>(*event.group)) + own % pieces) : own;
-  }
-
-  // Danger: where groups are few beside hosts, whole groups fill some hosts and leave others idle. The more
-  // often two attachments held here are of one group, the more pieces each group falls into.
-  static std::uint64_t pieces(const Note& seek, double hosts) {
-    const double wanted = kPieces * hosts;
-    const double part = (seek.alike + 1) / (seek.pairs + wanted / 2);  // nothing seen yet: two pieces
-    return std::bit_floor(static_cast<std::uint64_t>(std::max(1.0, wanted * part * std::sqrt(2.0))));
+  static std::uint64_t key_of(const Event& event) {
+    if (event.group) return hash(static_cast<std::uint64_t>(*event.group));
+    if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
+    return hash(event.id);
   }
 
   void answer(const Note& seek) {
-    if (stale_) lay();
-    const std::string zone = text(around_.settings, "zone");
-    double open = 0, size = 0, hosts = 0;
-    for (const auto& [id, card] : cards_)
-      if (card.healthy && card.zone == zone && card.weight > 0.5)
-        open += card.open, size += card.size, ++hosts;
-    const std::uint64_t pieces = Ring::pieces(seek, hosts);
-    std::size_t unseen = 0;  // hosts that have any point now: the walk ends when all of them have been met
-    for (Place& place : places_) {
-      const double weight = seek.event.mid_flow ? 1 : place.card->weight;
-      place.points = static_cast<int>(std::lround(weight * points_of(*place.card)));
-      place.seen = place.points == 0;
-      if (!place.seen) ++unseen;
-    }
+    if (std::exchange(stale_, false))
+      circle_.lay(cards_, [this](const Card& card) { return points_of(card); });
     std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
-    std::size_t good = 0, homes = pieces > 1 ? 0 : seek.homes.size();
-    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key_of(seek.event, pieces), 0, 0});
-    for (; unseen > 0 && (good < kEnough || homes > 0); ++at) {
-      if (at == points_.end()) at = points_.begin();
-      Place& place = places_[at->place];
-      if (place.seen || at->number >= place.points) continue;
-      place.seen = true;
-      --unseen;
-      const bool home = pieces == 1 && seek.homes.count(place.id) != 0;  // the group's work is paid for there
-      if (home) --homes;
-      const Card& card = *place.card;
-      if (!seek.host.empty() && !drops_repeats(seek, card)) continue;
+    std::size_t good = 0, homes = seek.homes.size();
+    circle_.walk(key_of(seek.event), [&](const std::string& id, const Card& card, int number) {
+      const double weight = seek.event.mid_flow ? 1 : card.weight;
+      if (number >= std::lround(weight * points_of(card))) return Step::not_its_point;
+      homes -= seek.homes.count(id);
+      const bool fits = seek.host.empty() || drops_repeats(seek, card);
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
-      if (std::max(card.shedding, card.late) > around_.now && !seek.event.mid_flow) continue;
-      ranked.emplace_back(rank(seek, place.id, card, home, size > 0 ? open / size : 0), place.id);
-      if (ranked.back().first <= 1) ++good;
-    }
+      const bool over = std::max(card.shedding, card.late) > around_.now && !seek.event.mid_flow;
+      if (fits && !over) ranked.emplace_back(rank(seek, id, card), id);
+      if (fits && !over && ranked.back().first <= 1) ++good;
+      return good >= kEnough && homes == 0 ? Step::enough : Step::next;
+    });
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
-    Note& route = around_.write(Part::desk, Topic::route);
-    route.event = seek.event;
-    route.fleet = seek.fleet;
+    Note& route = around_.pass_on(seek, Part::desk, Topic::route);
+    route.hosts.clear();
     for (auto& [rank, id] : ranked) route.hosts.push_back(std::move(id));
   }
 
@@ -598,12 +584,13 @@
   }
 
   // Lower is asked earlier; within one rank the ring decides.
-  int rank(const Note& seek, const std::string& id, const Card& card, bool home, double mean) const {
+  int rank(const Note& seek, const std::string& id, const Card& card) const {
     const bool near = card.zone == text(around_.settings, "zone");
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
     if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
-    const double share = mean * card.size;
+    const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
+    const double share = seek.fleet.mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
     if (card.strained > around_.now) return near ? 6 : 7;
@@ -614,8 +601,7 @@
 
   Surroundings& around_;
   std::map<std::string, Card> cards_;
-  std::vector<Place> places_;
-  std::vector<Point> points_;
+  Circle circle_;
   bool stale_ = true, frozen_ = false;
 };
 
@@ -760,13 +746,10 @@
     if (!may_be_tried_again(held)) return give_up(held);
     Note& note = around_.write(Part::roster, Topic::seek);
     note.event = held.event;
-    std::map<std::int64_t, double> sizes;
-    for (const auto& [id, other] : held_) {
-      if (!held.event.group || !other.event.group || !other.standing || other.answered) continue;
-      note.pairs += static_cast<double>(note.count++);
-      note.alike += sizes[*other.event.group]++;
-      if (other.event.group == held.event.group) note.homes.insert(other.tries.back().host);
-    }
+    if (held.event.group)
+      for (const auto& [id, other] : held_)
+        if (other.standing && !other.answered && other.event.group == held.event.group)
+          note.homes.insert(other.tries.back().host);
     for (const Try& earlier : held.tries) {
       note.hosts.push_back(earlier.host);
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
@@ -778,13 +761,12 @@
   void ask(const Note& route) {
     const auto found = held_.find(route.event.id);
     if (found == held_.end() || found->second.answered) return;
-    if (route.topic == Topic::route && route.fleet.crowd_limit > 0 && beyond_share(found->second))
-      return give_up(found->second);
-    if (route.hosts.empty()) return give_up(found->second);
-    Note& note = around_.write(Part::host, Topic::offer, route.hosts.front());
-    note.event = found->second.event;
-    note.fleet = route.fleet;
-    note.hosts.assign(route.hosts.begin() + 1, route.hosts.end());
+    Attachment& held = found->second;
+    const bool gives_way = route.topic == Topic::route && route.fleet.crowd_limit > 0 && beyond_share(held);
+    if (gives_way || route.hosts.empty() || around_.now >= held.event.expiry) return give_up(held);
+    Note& note = around_.pass_on(route, Part::host, Topic::offer);
+    note.host = route.hosts.front();
+    note.hosts.erase(note.hosts.begin());
   }
 
   void send(const std::string& id, const std::string& host) {
@@ -809,15 +791,12 @@
     if (held.answered) return;
     const std::string& id = held.event.id;
     held.answered = true;
-    if (may_be_rejected(held)) {
-      Tenths back = 0;
-      if (number(around_.settings, "come_back_told", 0) != 0)  // danger: a rejected crowd comes back in step
-        back = static_cast<Tenths>(number(around_.settings, "max_come_back", 0) *
-                                   (0.2 + 0.8 * around_.chance.share()));
-      around_.act(ActionKind::reject, id, "", 0, back);
-    } else {
-      around_.act(ActionKind::scrap, id, "");
-    }
+    if (!may_be_rejected(held)) return around_.act(ActionKind::scrap, id, "");
+    Tenths back = 0;  // danger: a rejected crowd comes back in step
+    if (number(around_.settings, "come_back_told", 0) != 0)
+      back = static_cast<Tenths>(number(around_.settings, "max_come_back", 0) *
+                                 (0.2 + 0.8 * around_.chance.share()));
+    around_.act(ActionKind::reject, id, "", 0, back);
   }
 
   Surroundings& around_;
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -96,8 +96,9 @@
     if (extra.contains("tenantQuotaConnections"))
       put_list(to, "tenant.", extra["tenantQuotaConnections"], false, ".open");
   }
-  if (env.contains("feedback") && env["feedback"].is_object() && env["feedback"].contains("fields"))
-    put_list(to, "report.", env["feedback"]["fields"], false);
+  const json reports = env.value("/feedback/fields"_json_pointer, json::array());
+  for (std::size_t i = 0; i < reports.size(); ++i)
+    if (reports[i] == "x0") to["report.load"] = static_cast<double>(i);  // the place of load over capacity
   return to;
 }
 
--- a/src/notes.h
+++ b/src/notes.h
@@ -93,8 +93,7 @@
   std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
   std::set<std::string> homes;     // of a seek: the hosts that hold some of its group
   std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
-  int count = 0;                   // of a seek: attachments of groups held here,
-  double pairs = 0, alike = 0;     // pairs of them, and pairs of one group
+  int looks = 0;                   // of an offer: hosts that were looked at for it and passed
   double part = 0;                 // of an eviction: the part of the host's groups that is to go
   bool standing = false;           // of a result: the connection had been established
   bool fresh = false;              // of a listing: new to a list that was known
@@ -115,17 +114,52 @@
   bool answered = false;  // ended; kept until its last try's result has come
 };
 
-struct Place {  // a host on the ring
-  std::string id;
-  const Card* card;
-  int points = 0;
-  bool seen = false;
-};
-struct Point {
-  std::uint64_t at;
-  std::uint32_t place;
-  std::int32_t number;
-  bool operator<(const Point& other) const { return std::tie(at, place) < std::tie(other.at, other.place); }
+// The points of the hosts in the order of the ring.
+enum class Step { not_its_point, next, enough };
+class Circle {
+ public:
+  template <class Points>
+  void lay(const std::map<std::string, Card>& cards, Points points_of) {
+    places_.clear();
+    points_.clear();
+    for (const auto& [id, card] : cards) {
+      const std::uint64_t start = hash(id);
+      for (int i = 0; i < points_of(card); ++i)
+        points_.push_back(
+            {hash(start + static_cast<unsigned>(i)), static_cast<std::uint32_t>(places_.size()), i});
+      places_.push_back({id, &card});
+    }
+    std::sort(points_.begin(), points_.end());
+  }
+
+  // Visits each host once, at the first of its points that it takes for its own.
+  template <class Visit>
+  void walk(std::uint64_t key, Visit visit) const {
+    std::vector<bool> seen(places_.size());
+    std::size_t unseen = places_.size();
+    auto at = std::lower_bound(points_.begin(), points_.end(), Point{key, 0, 0});
+    for (std::size_t i = 0; i < points_.size() && unseen > 0; ++i, ++at) {
+      if (at == points_.end()) at = points_.begin();
+      if (seen[at->place]) continue;
+      const Step step = visit(places_[at->place].id, *places_[at->place].card, at->number);
+      if (step == Step::enough) return;
+      if (step == Step::next) seen[at->place] = true, --unseen;
+    }
+  }
+
+ private:
+  struct Place {
+    std::string id;
+    const Card* card;
+  };
+  struct Point {
+    std::uint64_t at;
+    std::uint32_t place;
+    std::int32_t number;
+    bool operator<(const Point& other) const { return std::tie(at, place) < std::tie(other.at, other.place); }
+  };
+  std::vector<Place> places_;
+  std::vector<Point> points_;
 };
 
 struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
@@ -145,6 +179,11 @@
     post.back().host = host;
     return post.back();
   }
+  Note& pass_on(Note note, Part to, Topic topic) {  // all else stays as it is
+    note.to = to;
+    note.topic = topic;
+    return post.emplace_back(std::move(note));
+  }
   void log(std::string line) { actions.push_back({ActionKind::log, "", "", std::move(line), 0, 0}); }
 };
 
