--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -258,6 +258,13 @@
     strained_at_ = delay * 3 > shortest_goal() ? around_.now : 0;  // the last note tells of the end
   }
 
+  double longest_expiry() const {
+    double expiry = 0;
+    for (int i = 0; around_.settings.count("traffic." + std::to_string(i) + ".expiry"); ++i)
+      expiry = std::max(expiry, number(around_.settings, "traffic." + std::to_string(i) + ".expiry", 0));
+    return expiry > 0 ? expiry : static_cast<double>(kNever);
+  }
+
   double shortest_goal() const {
     double goal = number(around_.settings, "message_goal.0", 0);
     for (int i = 1; around_.settings.count("message_goal." + std::to_string(i)); ++i)
@@ -267,8 +274,9 @@
 
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
-  // One that answers probes with errors may well serve what stands there.
-  bool dead() const { return !probes_.good && silent_; }
+  // One that answers probes with errors may well serve what stands there; one whose messages take longer than
+  // any client waits for a connection is no more than slow only in name, and no node needs a probe to tell.
+  bool dead() const { return (!probes_.good && silent_) || (strained() && delay_ > longest_expiry()); }
   bool relieves() const { return card_.open > 0 && (dead() || (strained() && delay_ * 2 > shortest_goal())); }
 
   void relieve() {
