--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -17,6 +17,8 @@
 
 constexpr Tenths kNever = INT64_MAX / 2;
 constexpr Tenths kListSilent = 3 * kSecond;  // a lost list is asked for again well within this
+constexpr double kAskShared = 40 * kMs;      // a list service's time for one node's inquiry
+constexpr double kAskLatest = 0.7;           // of the time after which a node is taken as told
 constexpr Tenths kPulse = 100 * kMs;         // least time between two looks at the clock
 
 constexpr int kBadRun = 3;    // design: bad results in a row that turn a signal bad
@@ -28,9 +30,9 @@
 constexpr Tenths kLongestCooldown = 3600 * kSecond;   // the cap of the design's source
 constexpr Tenths kFlapMemory = 60 * kSecond;          // flaps older than this no longer lengthen the cooldown
 constexpr Tenths kProbeEvery = 1500 * kMs;            // steady probes of a node, at the most so often
-constexpr Tenths kProbeShared = 500 * kMs;            // and of all nodes together for one host
+constexpr Tenths kProbeShared = kSecond;              // and of all nodes together for one host
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
-constexpr Tenths kHurryShared = 50 * kMs;             // and of all nodes together that may be in doubt
+constexpr Tenths kHurryShared = 65 * kMs;             // and of all nodes together that may be in doubt
 constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
 constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
 constexpr double kFull = 0.6;       // of capacity: messages begin to wait there
@@ -258,19 +260,8 @@
     strained_at_ = delay * 3 > shortest_goal() ? around_.now : 0;  // the last note tells of the end
   }
 
-  double longest_expiry() const {
-    double expiry = 0;
-    for (int i = 0; around_.settings.count("traffic." + std::to_string(i) + ".expiry"); ++i)
-      expiry = std::max(expiry, number(around_.settings, "traffic." + std::to_string(i) + ".expiry", 0));
-    return expiry > 0 ? expiry : static_cast<double>(kNever);
-  }
-
-  double shortest_goal() const {
-    double goal = number(around_.settings, "message_goal.0", 0);
-    for (int i = 1; around_.settings.count("message_goal." + std::to_string(i)); ++i)
-      goal = std::min(goal, number(around_.settings, "message_goal." + std::to_string(i), 0));
-    return goal;
-  }
+  double longest_expiry() const { return extreme(around_.settings, "traffic.", ".expiry", 1, kNever); }
+  double shortest_goal() const { return extreme(around_.settings, "message_goal.", "", -1, 0); }
 
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
@@ -420,7 +411,7 @@
       subscribed_ = false;
       if (lost_at_ == 0) lost_at_ = around_.now;
       const double wait = std::min(500.0 * (1 << std::min(losses_, 4)), 4000.0) * kMs;
-      ask_at_ = around_.now + static_cast<Tenths>(wait * (0.5 + around_.chance.share() / 2));
+      ask_at_ = around_.now + static_cast<Tenths>((wait + spread()) * (0.5 + around_.chance.share() / 2));
       return;
     }
     if (event.kind != EventKind::list_copy) {
@@ -441,7 +432,15 @@
         if (!named.count(host)) around_.write(Part::host, Topic::unlisted, host);
     listed_.insert(named.begin(), named.end());
     started_ = true;
-    if (event.kind == EventKind::list_copy) ask();
+    if (event.kind != EventKind::list_copy) return;
+    ask_at_ = around_.now + static_cast<Tenths>(spread() * around_.chance.share());
+    ask();
+  }
+
+  // Danger: one service lists for all nodes; asked by all at once it turns most away, and they ask again.
+  double spread() const {
+    return std::min(kAskLatest * number(around_.settings, "ask_within", 0),
+                    kAskShared * nodes(around_.settings));
   }
 
   // The list is subscribed to at the start and again after each loss.
@@ -460,14 +459,15 @@
     if (matters) figures();
   }
 
-  bool silent() const { return lost_at_ > 0 && around_.now - lost_at_ > kListSilent; }
+  bool silent() const { return lost_at_ > 0 && around_.now - lost_at_ > kListSilent + spread(); }
   bool degraded(const Card& card) const { return card.score < 75 && around_.now >= card.cold; }
 
   // Work comes only to those with something due; one alarm stands for the earliest.
   void set_alarm() {
     Tenths due = due_.empty() ? kNever : due_.begin()->first;
     if (started_ && !subscribed_ && asked_for()) due = std::min(due, ask_at_);
-    if (lost_at_ > 0 && !frozen_) due = std::min(due, lost_at_ + kListSilent + 1);
+    if (lost_at_ > 0 && !frozen_)
+      due = std::min(due, lost_at_ + kListSilent + static_cast<Tenths>(spread()) + 1);
     due = std::max({due, pulsed_at_ + kPulse, around_.now + 1});
     if (due >= kNever || (alarm_at_ > around_.now && alarm_at_ <= due)) return;
     alarm_at_ = due;
--- a/src/notes.h
+++ b/src/notes.h
@@ -35,6 +35,17 @@
   return value ? *value : std::string();
 }
 
+// The largest (sign 1) or smallest (sign -1) of a figure that each one of a list of settings has.
+inline double extreme(const Settings& settings, const std::string& list, const std::string& name, int sign,
+                      double otherwise) {
+  const std::string first = list + "0" + name;
+  if (!settings.count(first)) return otherwise;
+  double found = number(settings, first, otherwise);
+  for (int i = 1; settings.count(list + std::to_string(i) + name); ++i)
+    found = sign * std::max(sign * found, sign * number(settings, list + std::to_string(i) + name, found));
+  return found;
+}
+
 inline double nodes(const Settings& settings) { return std::max(1.0, number(settings, "nodes", 1)); }
 
 // The prefix of the settings of the one that bears this name in a list of settings; empty if none does.
