--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -72,9 +72,9 @@
     }
     return false;
   }
+  // Danger: at a quiet node one bad set-up is all there is; what has not been seen counts as good.
   double share() const {
-    if (results.empty()) return 1;
-    return static_cast<double>(std::count(results.begin(), results.end(), true)) / results.size();
+    return 1 - static_cast<double>(std::count(results.begin(), results.end(), false)) / kGoodRun;
   }
   bool in_doubt() const { return !good || (!results.empty() && !results.back()); }
 };
