--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,10 +33,12 @@
 constexpr Tenths kProbeShared = kSecond;              // and of all nodes together for one host
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 65 * kMs;             // and of all nodes together that may be in doubt
-constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
-constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
-constexpr double kFull = 0.6;       // of capacity: messages begin to wait there
-constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
+constexpr int kPoints = 30;    // virtual points for a size of 1: shares true to a few percent
+constexpr int kLooks = 3;      // hosts looked at and passed before one is taken unseen
+constexpr double kFull = 0.6;  // of capacity: messages begin to wait there
+constexpr double kScatter =
+    12;                     // hosts that all nodes together ask for one group while the crowd limit is on
+constexpr int kEnough = 8;  // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
@@ -49,7 +51,6 @@
 constexpr double kInrushAll = 6;      // that least for all nodes together: leasts of many nodes add up
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
-constexpr Tenths kLongLate = 3 * kSecond;  // longer than most spells of a program that comes and goes
 constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare = 0.15;  // of its connections: a few steps clear it, one overshoots little
@@ -219,7 +220,6 @@
     switch (event.kind) {
       case EventKind::handed_over: ++card_.open; break;
       case EventKind::established:
-        refusals_ = 0;
         setup_at_ = around_.now;
         result(setups_, event.took <= event.expiry);  // the desk puts the longest good set-up time there
         break;
@@ -245,8 +245,6 @@
       case Outcome::honoured:
       case Outcome::cancelled:
       case Outcome::not_sent: return;  // says nothing of the host
-      case Outcome::no_connection:
-      case Outcome::turned_away: ++refusals_; break;
       default: break;
     }
     setup_at_ = around_.now;
@@ -254,7 +252,6 @@
   }
 
   void delayed(double delay) {
-    if (delay <= shortest_goal() || around_.now - strained_at_ > kStrainHeld) late_since_ = around_.now;
     delay_ = delay;
     if (delay > shortest_goal()) cap_at_ = around_.now, cap_ = card_.open;
     strained_at_ = delay * 3 > shortest_goal() ? around_.now : 0;  // the last note tells of the end
@@ -274,8 +271,7 @@
     if (!relieves() || around_.now < next_relief_) return;
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     if (begins) relief_since_ = around_.now;
-    // Without room anywhere it is worth it only where lateness stays: a short spell ends sooner than it pays.
-    if (fleet_.frozen || (!dead() && fleet_.crowded && around_.now - late_since_ < kLongLate)) return;
+    if (fleet_.frozen) return;
     next_relief_ = around_.now + (dead() ? kPulse : kRelief);
     Note& note = around_.write(Part::desk, Topic::evict, id_);
     const Tenths steps = (around_.now - relief_since_) / kRelief + 1;
@@ -356,7 +352,6 @@
     card_.strained = strained_at_ > 0 ? strained_at_ + kStrainHeld : 0;
     card_.late = delay_ > shortest_goal() ? card_.strained : 0;
     card_.shedding = shed_at_ > 0 ? shed_at_ + kStrainHeld : 0;
-    card_.refusing = refusals_ >= 2;
     card_.cold = started_ > 0 ? started_ + static_cast<Tenths>(needed(around_.settings, "cold_time")) : 0;
     card_.due = std::min(next_climb(), may_be_probed() ? next_probe_ : kNever);
     if (relieves()) card_.due = std::min(card_.due, next_relief_);
@@ -373,9 +368,9 @@
   Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0,
          relief_since_ = 0;
   Signal probes_, setups_;
-  int step_ = kTop, refusals_ = 0;
+  int step_ = kTop;
   double delay_ = 0;  // of a message, as last told
-  Tenths next_relief_ = 0, setup_at_ = 0, late_since_ = 0, cap_at_ = 0;
+  Tenths next_relief_ = 0, setup_at_ = 0, cap_at_ = 0;
   int cap_ = 0;             // what it held when it was last late
   double inherited_ = 100;  // a new host starts at the others' mean
   Tenths probed_at_ = -kNever;
@@ -505,7 +500,6 @@
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     fleet.crowd_limit = trouble ? kInrush : 0;
     if (near_size > 0) fleet.mean = near_open / near_size;
-    fleet.crowded = roomy < kLeastRoom * all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
     if (hosts > 0) fleet.score = scores / hosts;
@@ -596,7 +590,6 @@
     const bool near = card.zone == text(around_.settings, "zone");
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
-    if (card.refusing) return 8;  // danger: a frozen weight sends work to a host that takes none
     const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
     const double share = seek.fleet.mean * card.size;
     const bool over =
@@ -775,6 +768,10 @@
     Note& note = around_.pass_on(route, Part::host, Topic::offer);
     note.host = route.hosts.front();
     note.hosts.erase(note.hosts.begin());
+    // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
+    const std::size_t asks = std::max<std::size_t>(2, kScatter / nodes(around_.settings)) - 1;
+    if (route.topic == Topic::route && route.fleet.crowd_limit > 0 && note.hosts.size() > asks)
+      note.hosts.resize(asks);
   }
 
   void send(const std::string& id, const std::string& host) {
