--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -340,3 +340,94 @@
   fake.pass(310000);
   EXPECT_NE(fake.arrive("later", 9), "");
 }
+
+TEST(Moves, AMessageSlowerThanAnyExpiryClearsAHostThoughItsProbesAreGood) {
+  Fake fake;
+  fake.settings["traffic.0.expiry"] = 30000.0;
+  fake.start(4);
+  const std::string home = fake.arrive("a", 1);
+  fake.stand("a");
+  fake.delay("a", 120000);
+  fake.pass(1000);
+  EXPECT_EQ(fake.moved, std::vector<std::string>{"a"});
+}
+
+TEST(Looks, AHostNotProbedOfLateIsProbedFirstAndPassedWhenFull) {
+  Fake fake;
+  fake.settings["nodes"] = 400.0;
+  fake.settings["report.load"] = 0.0;
+  fake.start(4);
+  EXPECT_EQ(fake.arrive("a", 1), "") << "held until the probe has answered";
+  ASSERT_EQ(fake.probes.size(), 1u);
+  const std::string home = fake.probes.begin()->first;
+  Event answer;
+  answer.kind = EventKind::probe_ended;
+  answer.host = home;
+  answer.report = {0.9};
+  fake.tell(answer);
+  ASSERT_EQ(fake.probes.size(), 2u);
+  answer.host = fake.last.back().host;
+  for (const Action& action : fake.last)
+    if (action.kind == ActionKind::probe) answer.host = action.host;
+  EXPECT_NE(answer.host, home);
+  answer.report = {0.2};
+  fake.tell(answer);
+  EXPECT_EQ(fake.tries["a"], std::vector<std::string>{answer.host});
+}
+
+TEST(Looks, AnAttachmentWhoseExpiryPassesMeanwhileIsAnsweredWithTheProbe) {
+  Fake fake;
+  fake.settings["nodes"] = 400.0;
+  fake.settings["report.load"] = 0.0;
+  fake.start(1);
+  fake.arrive("a", 1);
+  fake.now += 30000;
+  Event answer;
+  answer.kind = EventKind::probe_ended;
+  answer.host = "h0";
+  fake.tell(answer);
+  EXPECT_TRUE(fake.said(ActionKind::reject, "a"));
+}
+
+TEST(Crowds, AGroupIsNotScatteredOverEveryHostThatStillTakesOne) {
+  Fake fake;
+  fake.settings["nodes"] = 400.0;
+  fake.start(8);
+  fake.arrive("first", 1);
+  fake.stand("first");
+  fake.delay("first", 600);
+  std::set<std::string> used;
+  for (int i = 0; i < 12; ++i) used.insert(fake.arrive("a" + std::to_string(i), i, "plain", false, 77));
+  used.erase("");
+  EXPECT_GE(used.size(), 1u);
+  EXPECT_LE(used.size(), 2u);
+}
+
+TEST(Lists, ManyNodesDoNotAskAtTheSameMomentAndNoneTooLate) {
+  std::set<Tenths> asked;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    Fake fake;
+    fake.settings["nodes"] = 400.0;
+    fake.settings["discovery"] = "on_request";
+    fake.settings["ask_within"] = 100000.0;
+    fake.start(3, seed);
+    const Tenths start = fake.now;
+    while (!fake.said(ActionKind::subscribe) && fake.now < start + 100000) {
+      fake.now += 1000;
+      fake.tell(Event{});
+    }
+    EXPECT_LT(fake.now, start + 80000);
+    asked.insert(fake.now);
+  }
+  EXPECT_GT(asked.size(), 10u);
+}
+
+TEST(Settings, ANumberOfNodesThatIsMissingOrWrongCountsAsOne) {
+  for (const double nodes : {0.0, -3.0}) {
+    Fake fake;
+    fake.settings["nodes"] = nodes;
+    fake.start(3);
+    fake.pass(20000);
+    EXPECT_NE(fake.arrive("a", 1), "");
+  }
+}
