--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -16,10 +16,11 @@
 namespace {
 
 constexpr Tenths kNever = INT64_MAX / 2;
-constexpr Tenths kListSilent = 3 * kSecond;  // a lost list is asked for again well within this
-constexpr double kAskShared = 40 * kMs;      // a list service's time for one node's inquiry
-constexpr double kAskLatest = 0.7;           // of the time after which a node is taken as told
-constexpr Tenths kPulse = 100 * kMs;         // least time between two looks at the clock
+constexpr Tenths kListSilent = 3 * kSecond;   // a lost list is asked for again well within this
+constexpr double kAskShared = 40 * kMs;       // a list service's time for one node's inquiry
+constexpr double kAskLatest = 0.7;            // of the time after which a node is taken as told
+constexpr Tenths kSoughtSpan = 10 * kSecond;  // long enough for a quiet node to see how much comes
+constexpr Tenths kPulse = 100 * kMs;          // least time between two looks at the clock
 
 constexpr int kBadRun = 3;    // design: bad results in a row that turn a signal bad
 constexpr int kGoodRun = 12;  // design: good ones that turn it good; also the samples a score looks at
@@ -154,21 +155,22 @@
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
-  // Danger: all nodes together push a cold host over. Each node keeps to its own part of what the host can
-  // surely do: warm hosts bear `bears` of this node's connections, and a cold one can fill up to that no
-  // faster than over its warm-up. Half of the multiple is left for chance and for unequal loads.
-  // A budget under one is kept by looking back over several windows.
+  // Danger: all nodes push a cold host over. Each keeps to its part of what the host can surely do: what warm
+  // ones bear of this node's connections, filled over the warm-up; half of the multiple is left for chance.
+  // A budget under one is kept over many windows and by chance: one from each of many nodes is a crowd.
   bool cold_allows() const {
     const double from = needed(around_.settings, "cold_from"), span = needed(around_.settings, "cold_time");
     const double window = needed(around_.settings, "fall_time");
     const double capacity = from + (1 - from) * std::clamp(age() / std::max(span, 1.0), 0.0, 1.0);
     const double multiple = std::max(1.0, needed(around_.settings, "fall_multiple") / 2);
-    const double budget = multiple * capacity * fleet_.bears * card_.size * window / std::max(span, 1.0);
-    return sent_within(window * (budget < 2 ? nodes(around_.settings) : 1), 0) + 1 <= std::max(1.0, budget);
+    const double own = multiple * capacity * fleet_.bears * card_.size * window / std::max(span, 1.0);
+    const double budget = std::max(own, 1 / nodes(around_.settings));  // one for all nodes at the least
+    if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
+    const double expected = fleet_.sought * card_.size * kHomeOver * window / kSoughtSpan;
+    return sent_within(window * nodes(around_.settings), 1) < 1 && around_.chance.share() * expected < budget;
   }
 
-  // Work sent lately; only pieces of at least `least` count.
-  double sent_within(double span, double least) const {
+  double sent_within(double span, double least) const {  // only pieces of at least `least` count
     double sum = 0;
     for (auto at = sent_.rbegin(); at != sent_.rend() && around_.now - at->first < span; ++at)
       if (at->second >= least) sum += at->second;
@@ -262,8 +264,8 @@
 
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
-  // One that answers probes with errors may well serve what stands there; one whose messages take longer than
-  // any client waits for a connection is no more than slow only in name, and no node needs a probe to tell.
+  // One that answers probes with errors may well serve what stands there; one with messages slower than any
+  // client's patience does not, whatever its probes say.
   bool dead() const { return (!probes_.good && silent_) || (strained() && delay_ > longest_expiry()); }
   bool relieves() const { return card_.open > 0 && (dead() || (strained() && delay_ * 2 > shortest_goal())); }
 
@@ -391,6 +393,7 @@
     if (note.topic == Topic::event) list(note.event);
     if (note.topic == Topic::pulse) pulse();
     if (note.topic == Topic::seek) {
+      sought_.push_back(around_.now);
       const Fleet fleet = figures();
       around_.pass_on(note, Part::ring, Topic::seek).fleet = fleet;
     }
@@ -438,7 +441,6 @@
                     kAskShared * nodes(around_.settings));
   }
 
-  // The list is subscribed to at the start and again after each loss.
   void ask() {
     if (!started_ || subscribed_ || !asked_for() || around_.now < ask_at_) return;
     subscribed_ = true;
@@ -447,19 +449,18 @@
 
   void heard(const std::string& host, const Card& card) {
     Card& known = cards_[host];
-    const bool matters = known.healthy != card.healthy || degraded(known) != degraded(card);
+    if (known.healthy != card.healthy || degraded(known) != degraded(card)) to_check_ = true;
     due_.erase({known.due, host});
     known = card;
     if (card.due < kNever) due_.insert({card.due, host});
-    if (matters) figures();
   }
 
   bool silent() const { return lost_at_ > 0 && around_.now - lost_at_ > kListSilent + spread(); }
   bool degraded(const Card& card) const { return card.score < 75 && around_.now >= card.cold; }
 
-  // Work comes only to those with something due; one alarm stands for the earliest.
-  void set_alarm() {
+  void set_alarm() {  // one stands for whatever is due first
     Tenths due = due_.empty() ? kNever : due_.begin()->first;
+    if (to_check_) due = around_.now;  // whether the weights freeze
     if (started_ && !subscribed_ && asked_for()) due = std::min(due, ask_at_);
     if (lost_at_ > 0 && !frozen_)
       due = std::min(due, lost_at_ + kListSilent + static_cast<Tenths>(spread()) + 1);
@@ -470,7 +471,7 @@
   }
 
   void pulse() {
-    pulsed_at_ = around_.now;
+    pulsed_at_ = around_.now, to_check_ = false;
     ask();
     const Fleet fleet = figures();
     for (auto at = due_.begin(); at != due_.end() && at->first <= around_.now; ++at)
@@ -504,6 +505,8 @@
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
     if (hosts > 0) fleet.score = scores / hosts;
     if (size > 0) fleet.bears = open / size;
+    std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
+    if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
     // it; when the list is silent this node's view may be the only one that is wrong.
     fleet.frozen = bad * 2 > hosts || silent();
@@ -520,7 +523,8 @@
   std::map<std::string, Card> cards_;
   std::set<std::string> listed_;
   std::set<std::pair<Tenths, std::string>> due_;
-  bool started_ = false, subscribed_ = false, frozen_ = false;
+  std::deque<Tenths> sought_;  // when a host was sought lately
+  bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0;
 };
@@ -694,9 +698,8 @@
     if (!held.answered) seek(held);
   }
 
-  // Whole groups move together, the same at every node, so that a group is paid for at one host and not at
-  // two; without groups each connection is one of its own. Danger: a least of one at each of many nodes
-  // clears a host at a stroke. A group's own hash says when it goes.
+  // Whole groups move, the same at every node, so that a group is paid for at one host and not at two.
+  // Danger: a least of one at each of many nodes clears a host at a stroke; a group's hash says when it goes.
   void evict(const std::string& host, double part, int spare) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     for (auto& [id, held] : held_) {
--- a/src/notes.h
+++ b/src/notes.h
@@ -85,6 +85,7 @@
   double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
   double mean = 0;         // open connections for a size of 1, in this node's own zone
   int spare = 0;           // moved connections that hosts with room may take in a second
+  double sought = 0;       // how often a host was sought lately, for a size of 1
   double bears = 0;        // open connections that a warm host of size 1 bears for this node
 };
 
