--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -743,7 +743,7 @@
     double open = 0;
     for (const auto& [id, other] : held_)
       if (!other.answered && other.standing && other.event.tenant == held.event.tenant) ++open;
-    return share > 0 && open >= share;
+    return share > 0 && open + 1 >= share + kOverBy;  // danger: a share under one shuts its tenant out
   }
 
   void seek(Attachment& held) {
@@ -772,7 +772,7 @@
     note.host = route.hosts.front();
     note.hosts.erase(note.hosts.begin());
     // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
-    const std::size_t asks = std::max<std::size_t>(2, kScatter / nodes(around_.settings)) - 1;
+    const std::size_t asks = std::max<std::size_t>(1, kScatter / nodes(around_.settings)) - 1;
     if (route.topic == Topic::route && route.fleet.crowd_limit > 0 && note.hosts.size() > asks)
       note.hosts.resize(asks);
   }
