--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -431,3 +431,38 @@
     EXPECT_NE(fake.arrive("a", 1), "");
   }
 }
+
+TEST(Cold, OneAtOnceFromEachOfManyNodesIsACrowdToo) {
+  int sent = 0;
+  for (std::uint64_t seed = 0; seed < 200; ++seed) {
+    Fake fake;
+    fake.settings["nodes"] = 200.0;
+    fake.start(1, seed);
+    fake.list(Fake::listing("h0", "near", fake.now), HostState::healthy);
+    sent += fake.arrive("a", 1).empty() ? 0 : 1;
+  }
+  EXPECT_LT(sent, 20);
+}
+
+TEST(Fairness, AShareUnderOneDoesNotShutItsTenantOut) {
+  Fake fake;
+  fake.settings["nodes"] = 400.0;
+  fake.settings["tenant.0.name"] = "guests";
+  fake.settings["tenant.0.open"] = 100.0;
+  fake.start(4);
+  Event event;
+  event.kind = EventKind::attachment;
+  event.tenant = "guests";
+  event.traffic_type = "plain";
+  event.expiry = fake.now + 30000;
+  event.id = "a";
+  fake.tell(event);
+  fake.stand("a");
+  fake.delay("a", 2000);
+  for (const char* id : {"b", "c", "d", "e"}) {  // some may find their one host late
+    event.id = id;
+    fake.tell(event);
+    if (!fake.said(ActionKind::reject)) return;
+  }
+  FAIL() << "all rejected";
+}
