--- a/tests/helper.h
+++ b/tests/helper.h
@@ -66,6 +66,15 @@
     tell(event);
   }
 
+  Event wish_of(const std::string& tenant) const {
+    Event event;
+    event.kind = EventKind::attachment;
+    event.tenant = tenant;
+    event.traffic_type = "plain";
+    event.expiry = now + 30000;
+    return event;
+  }
+
   std::string arrive(const std::string& id, std::int64_t key = 1, const std::string& type = "plain",
                      bool mid_flow = false, std::optional<std::int64_t> group = {}) {
     Event event;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -277,11 +277,7 @@
   fake.settings["tenant.0.name"] = "guests";
   fake.settings["tenant.0.open"] = 1.0;
   fake.start(4);
-  Event event;
-  event.kind = EventKind::attachment;
-  event.tenant = "guests";
-  event.traffic_type = "plain";
-  event.expiry = fake.now + 30000;
+  Event event = fake.wish_of("guests");
   for (const char* id : {"a", "b"}) {
     event.id = id;
     fake.tell(event);
@@ -450,11 +446,7 @@
   fake.settings["tenant.0.name"] = "guests";
   fake.settings["tenant.0.open"] = 100.0;
   fake.start(4);
-  Event event;
-  event.kind = EventKind::attachment;
-  event.tenant = "guests";
-  event.traffic_type = "plain";
-  event.expiry = fake.now + 30000;
+  Event event = fake.wish_of("guests");
   event.id = "a";
   fake.tell(event);
   fake.stand("a");
