--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -213,7 +213,7 @@
     for (Note& note : std::exchange(waiting_, {})) {
       if (event.outcome != Outcome::honoured) ++note.looks;
       else note.hosts.insert(note.hosts.begin(), id_);  // asked once more
-      around_.pass_on(note, Part::desk, Topic::passed);
+      around_.pass_on(std::move(note), Part::desk, Topic::passed);
     }
   }
 
@@ -243,12 +243,9 @@
   void ended(const Event& event, bool standing) {
     if (standing && event.outcome == Outcome::lost) shed_at_ = around_.now;
     card_.open = std::max(0, card_.open - 1);
-    switch (event.outcome) {
-      case Outcome::honoured:
-      case Outcome::cancelled:
-      case Outcome::not_sent: return;  // says nothing of the host
-      default: break;
-    }
+    if (event.outcome == Outcome::honoured || event.outcome == Outcome::cancelled ||
+        event.outcome == Outcome::not_sent)
+      return;  // says nothing of the host
     setup_at_ = around_.now;
     result(setups_, false);
   }
@@ -314,8 +311,10 @@
     return std::min({score, inherited_, probes_.good && setups_.good ? 100.0 : 50.0});
   }
 
+  bool in_doubt() const { return probes_.in_doubt() || setups_.in_doubt(); }
+
   Tenths next_climb() const {
-    if (step_ >= kTop || probes_.in_doubt() || setups_.in_doubt()) return kNever;
+    if (step_ >= kTop || in_doubt()) return kNever;
     const auto warming = static_cast<Tenths>(needed(around_.settings, "cold_time") / (kTop + 1));
     return step_since_ + (cold() ? std::max(kStep, warming) : kStep);
   }
@@ -339,10 +338,9 @@
 
   void probe() {
     if (!may_be_probed() || around_.now < next_probe_) return;
-    const bool hurry = probes_.in_doubt() || setups_.in_doubt();
     probe_out_ = true;
-    next_probe_ = around_.now + (hurry ? probe_interval(kProbeHurry, kHurryShared)
-                                       : probe_interval(kProbeEvery, kProbeShared));
+    next_probe_ = around_.now + (in_doubt() ? probe_interval(kProbeHurry, kHurryShared)
+                                            : probe_interval(kProbeEvery, kProbeShared));
     sends(kProbeWork);
     around_.act(ActionKind::probe, "", id_);
   }
@@ -455,15 +453,18 @@
     if (card.due < kNever) due_.insert({card.due, host});
   }
 
-  bool silent() const { return lost_at_ > 0 && around_.now - lost_at_ > kListSilent + spread(); }
+  // When the list counts as silent, if it does not answer before.
+  Tenths silent_from() const {
+    return lost_at_ > 0 ? lost_at_ + kListSilent + static_cast<Tenths>(spread()) + 1 : kNever;
+  }
+  bool silent() const { return around_.now >= silent_from(); }
   bool degraded(const Card& card) const { return card.score < 75 && around_.now >= card.cold; }
 
   void set_alarm() {  // one stands for whatever is due first
     Tenths due = due_.empty() ? kNever : due_.begin()->first;
     if (to_check_) due = around_.now;  // whether the weights freeze
     if (started_ && !subscribed_ && asked_for()) due = std::min(due, ask_at_);
-    if (lost_at_ > 0 && !frozen_)
-      due = std::min(due, lost_at_ + kListSilent + static_cast<Tenths>(spread()) + 1);
+    if (!frozen_) due = std::min(due, silent_from());
     due = std::max({due, pulsed_at_ + kPulse, around_.now + 1});
     if (due >= kNever || (alarm_at_ > around_.now && alarm_at_ <= due)) return;
     alarm_at_ = due;
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -77,12 +77,10 @@
 
   std::string arrive(const std::string& id, std::int64_t key = 1, const std::string& type = "plain",
                      bool mid_flow = false, std::optional<std::int64_t> group = {}) {
-    Event event;
-    event.kind = EventKind::attachment;
+    Event event = wish_of("");
     event.id = id;
     event.key = key;
     event.traffic_type = type;
-    event.expiry = now + 30000;
     event.mid_flow = mid_flow;
     event.group = group;
     tell(event);
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -362,7 +362,6 @@
   answer.report = {0.9};
   fake.tell(answer);
   ASSERT_EQ(fake.probes.size(), 2u);
-  answer.host = fake.last.back().host;
   for (const Action& action : fake.last)
     if (action.kind == ActionKind::probe) answer.host = action.host;
   EXPECT_NE(answer.host, home);
