--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -1,107 +1,16 @@
 // dapplewharf_drill: translates the simulator's wire to the module's words and back. No decisions here.
-#include <cmath>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "../choice.h"
+#include "../settings.h"
 
 using nlohmann::json;
 using namespace dapplewharf;
 
 namespace {
 
-constexpr double kPerMs = 10.0;  // tenths in a millisecond
-constexpr double kEps = 1e-6;    // binary fractions just under a whole tenth
-
-Tenths down(double ms) { return static_cast<Tenths>(std::floor(ms * kPerMs + kEps)); }
-
-struct Name {
-  const char* wire;
-  const char* ours;
-  bool is_time;
-};
-const Name kSettingNames[] = {
-    {"/peersTotal", "nodes", false},
-    {"/me", "me", false},
-    {"/zone", "zone", false},
-    {"/discovery", "discovery", false},
-    {"/guarantees/graceToAnswerMs", "grace_to_answer", true},
-    {"/guarantees/askWithinMs", "ask_within", true},
-    {"/guarantees/coldFrom", "cold_from", false},
-    {"/guarantees/coldMs", "cold_time", true},
-    {"/guarantees/fallMs", "fall_time", true},
-    {"/guarantees/fallMultiple", "fall_multiple", false},
-    {"/guarantees/stopSendingWithinMs", "drain_grace", true},
-    {"/bounds/maxAttempts", "max_tries", false},
-    {"/bounds/maxRetryAfterMs", "max_come_back", true},
-    {"/bounds/retryAfter", "come_back_told", false},
-    {"/bounds/probes", "probes_allowed", false},
-    {"/bounds/secondCopies", "two_tries_allowed", false},
-    {"/bounds/cancel", "cancel_allowed", false},
-    {"/bounds/dialTimeoutMs", "connect_time", true},
-    {"/extra/parkMs", "park_time", true},
-    {"/charges/probe", "price_probe", false},
-    {"/charges/moves", "price_move", false},
-    {"/charges/crossZone", "price_crossing", false},
-    {"/overShareWorth", "over_share_value", false},
-};
-const Name kTrafficNames[] = {
-    {"/name", "name", false},
-    {"/semantics", "effect", false},
-    {"/group", "repeat_group", false},
-    {"/windowMs", "repeat_window", true},
-    {"/objectiveMs", "latency_goal", true},
-    {"/hardLimitMs", "expiry", true},
-    {"/worth", "value", false},
-};
-const Name kTenantNames[] = {
-    {"/name", "name", false}, {"/portion", "share", false}, {"/quotaPerS", "quota", false}};
-
-void put(Settings& to, const std::string& name, const json& value, bool is_time) {
-  if (value.is_boolean()) to[name] = value.get<bool>() ? 1.0 : 0.0;
-  if (value.is_number())
-    to[name] = is_time ? std::floor(value.get<double>() * kPerMs + kEps) : value.get<double>();
-  if (value.is_string()) {
-    const std::string text = value.get<std::string>();
-    to[name] = text == "at_most_once" ? "unrepeatable" : text;
-  }
-}
-
-template <std::size_t N>
-void put_all(Settings& to, const std::string& prefix, const json& from, const Name (&names)[N]) {
-  for (const Name& name : names) {
-    const json::json_pointer at(name.wire);
-    if (from.contains(at)) put(to, prefix + name.ours, from.at(at), name.is_time);
-  }
-}
-
-void put_list(Settings& to, const std::string& name, const json& list, bool is_time,
-              const std::string& after = "") {
-  for (std::size_t i = 0; i < list.size(); ++i) put(to, name + std::to_string(i) + after, list[i], is_time);
-}
-
-Settings settings_of(const json& env) {
-  Settings to;
-  put_all(to, "", env, kSettingNames);
-  const json lanes = env.value("lanes", json::array());
-  for (std::size_t i = 0; i < lanes.size(); ++i)
-    put_all(to, "traffic." + std::to_string(i) + ".", lanes[i], kTrafficNames);
-  const json realms = env.contains("realms") && env["realms"].is_array() ? env["realms"] : json::array();
-  for (std::size_t i = 0; i < realms.size(); ++i)
-    put_all(to, "tenant." + std::to_string(i) + ".", realms[i], kTenantNames);
-  if (env.contains("extra") && env["extra"].is_object()) {
-    const json& extra = env["extra"];
-    if (extra.contains("messageAimMs")) put_list(to, "message_goal.", extra["messageAimMs"], true);
-    if (extra.contains("tenantQuotaConnections"))
-      put_list(to, "tenant.", extra["tenantQuotaConnections"], false, ".open");
-  }
-  const json reports = env.value("/feedback/fields"_json_pointer, json::array());
-  for (std::size_t i = 0; i < reports.size(); ++i)
-    if (reports[i] == "x0") to["report.load"] = static_cast<double>(i);  // the place of load over capacity
-  return to;
-}
-
 Outcome outcome_of(const std::string& code) {
   if (code == "served") return Outcome::honoured;
   if (code == "server_error") return Outcome::error;
@@ -138,7 +47,7 @@
              : state == "cordoned" ? HostState::draining
                                    : HostState::gone;
   to.size = number(from, "scale", 1);
-  to.started = down(number(from, "cameUpMs"));
+  to.started = tenths_down(number(from, "cameUpMs"));
   return to;
 }
 
@@ -159,7 +68,7 @@
       for (const json& entry : from["hosts"]) to.listings.push_back(listing_of(entry));
   } else if (verb == "Demand" || verb == "Handover") {
     to.kind = verb == "Demand" ? EventKind::attachment : EventKind::handed_over;
-    if (verb == "Demand") to.expiry = down(from.at("clientDeadlineMs").get<double>());
+    if (verb == "Demand") to.expiry = tenths_down(from.at("clientDeadlineMs").get<double>());
     from.at("req");
     to.traffic_type = from.at("service").get<std::string>();
     to.tenant = text(from, "team");
@@ -170,7 +79,7 @@
     to.repeated = flag(from, "againByClient");
   } else if (verb == "Established") {
     to.kind = EventKind::established;
-    to.took = down(number(from, "durationMs"));
+    to.took = tenths_down(number(from, "durationMs"));
   } else if (verb == "HintUpdate") {
     const bool load = static_cast<int>(number(from, "sort")) == 1;
     to.kind = load ? EventKind::load_told : EventKind::delay_told;
@@ -178,7 +87,7 @@
   } else if (verb == "Result" || verb == "Echo") {
     to.kind = verb == "Result" ? EventKind::try_ended : EventKind::probe_ended;
     to.outcome = outcome_of(from.at("rc").get<std::string>());
-    to.took = down(number(from, "durationMs"));
+    to.took = tenths_down(number(from, "durationMs"));
     to.final = flag(from, "final");
     if (from.contains("healthInfo") && from["healthInfo"].is_array())
       for (const json& value : from["healthInfo"])
@@ -241,7 +150,7 @@
 }
 
 json reply_to(Nodes& nodes, const json& batch) {
-  const Tenths now = down(batch.at("simTimeMs").get<double>());
+  const Tenths now = tenths_down(batch.at("simTimeMs").get<double>());
   json parts = json::array();
   for (const json& part : batch.at("parts")) {
     const std::int64_t node = part.at("node").get<std::int64_t>();
--- /dev/null
+++ b/src/node/discovery.cpp
@@ -0,0 +1,178 @@
+#include "discovery.h"
+
+#include <spdlog/spdlog.h>
+
+#include <nlohmann/json.hpp>
+
+#include "../settings.h"
+#include "http.h"
+
+using nlohmann::json;
+
+namespace dapplewharf {
+namespace {
+
+// Short, so that a watch that hangs is noticed long before the node counts as told.
+constexpr Tenths kWait = 50000;
+constexpr Tenths kPatience = 15000;       // for an answer, over the wait that was asked for
+constexpr Tenths kFetchPatience = 40000;  // calls wait in turn behind those of other nodes
+
+HostState state_of(const std::string& word) {
+  if (word == "up") return HostState::healthy;
+  return word == "draining" ? HostState::draining : HostState::gone;  // danger: new work on an unknown word
+}
+
+template <class Value>
+Value field(const json& from, const char* name, Value otherwise) {
+  const auto found = from.find(name);
+  if (found == from.end() || found->is_null()) return otherwise;
+  return found->get<Value>();
+}
+
+}  // namespace
+
+Tenths Starts::place(const std::string& host, double unix_ms, Tenths now, Tenths unix_now) {
+  if (!(unix_ms > 0)) return 0;
+  const auto [at, fresh] = known_.try_emplace(host, -1, 0);
+  if (at->second.first != unix_ms)
+    at->second = {unix_ms, std::max<Tenths>(tenths_down(unix_ms) + now - unix_now, 1)};
+  return at->second.second;
+}
+
+List list_of(const json& from, Starts& starts, Tenths now, Tenths unix_now) {
+  List to;
+  to.whole = from.at("reset").get<bool>();
+  to.version = from.at("generation").get<std::int64_t>();
+  for (const json& entry : from.at("instances")) {
+    Listing listing;
+    listing.host = entry.at("instanceId").get<std::string>();
+    listing.zone = field<std::string>(entry, "zone", "");
+    listing.cell = field<std::int64_t>(entry, "cell", 0);
+    listing.state = state_of(entry.at("lifecycle").get<std::string>());
+    listing.size = field<double>(entry, "weight", 1);
+    listing.started = starts.place(listing.host, field<double>(entry, "startedAtMs", 0), now, unix_now);
+    const auto address = field<std::string>(entry, "hostPort", "");
+    if (!address.empty()) to.addresses[listing.host] = address;
+    to.listings.push_back(std::move(listing));
+  }
+  return to;
+}
+
+Discovery::Discovery(Loop& loop, Counters& counters, std::string address, int descriptors, Heard heard)
+    : loop_(loop),
+      counters_(counters),
+      address_(std::move(address)),
+      descriptors_(descriptors),
+      heard_(std::move(heard)) {}
+
+void Discovery::watch() {
+  watching_ = true;
+  next();
+}
+
+void Discovery::fetch() {
+  fetching_ = true;
+  next();
+}
+
+void Discovery::next() {
+  if (out_) return;
+  if (fetching_) return call("/api/targets", kFetchPatience);
+  if (!watching_) return;
+  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWait / 10),
+       kWait + kPatience);
+}
+
+void Discovery::call(const std::string& target, Tenths patience) {
+  out_ = true;
+  ++counters_.list_calls;
+  request_ = get_request(address_, target);
+  patience_ = patience;
+  stale_ = static_cast<bool>(socket_);
+  sent_ = 0;
+  in_.clear();
+  loop_.at(deadline_, loop_.now() + patience_, [this] { broken(false); });
+  if (!socket_) return dial_out();
+  loop_.want(watched_, POLLIN | POLLOUT);
+  ready();
+}
+
+void Discovery::dial_out() {
+  const auto at = address_of(address_);
+  connected_ = false;
+  sent_ = 0;
+  in_.clear();
+  if (!at || dial(*at, descriptors_, socket_) != Dial::begun) {
+    // Told in a turn of its own: the caller may be amid its own work.
+    return loop_.at(deadline_, loop_.now(), [this] { broken(false); });
+  }
+  watched_ = loop_.watch(socket_.number(), POLLOUT, [this](short) { ready(); });
+}
+
+void Discovery::ready() {
+  if (!connected_) {
+    if (!socket_.connected()) return broken(false);
+    connected_ = true;
+  }
+  if (out_ && sent_ < request_.size()) {
+    const auto given = socket_.send(request_.data() + sent_, request_.size() - sent_);
+    if (!given) return broken(stale_);
+    sent_ += *given;
+  }
+  loop_.want(watched_, sent_ < request_.size() && out_ ? POLLIN | POLLOUT : POLLIN);
+  bool ended = false;
+  const auto got = socket_.receive(in_, 64 * 1024, ended);
+  if (!got) return broken(stale_ && in_.empty());
+  if (!out_) return ended || *got > 0 ? hang_up() : void();  // nothing was asked for
+  if (ended && in_.empty()) return broken(stale_);
+  if (*got == 0 && !ended) return;
+  const Answer answer = answer_of(in_, ended);
+  if (answer.state == Answer::State::more) return;
+  if (answer.state == Answer::State::bad || answer.status != 200) {
+    spdlog::warn("discovery answered {}",
+                 answer.state == Answer::State::bad ? "no HTTP" : "status " + std::to_string(answer.status));
+    return broken(false);
+  }
+  answered(answer.body, answer.closes || ended);
+}
+
+void Discovery::answered(const std::string& body, bool closes) {
+  List list;
+  try {
+    list = list_of(json::parse(body), starts, loop_.now(), Loop::unix_now());
+  } catch (const std::exception& error) {  // danger: a list that is half garbage; the last good one is kept
+    spdlog::warn("discovery's list is not usable: {}", error.what());
+    return broken(false);
+  }
+  out_ = false;
+  loop_.cancel(deadline_);
+  if (closes) hang_up();
+  version_ = list.version;
+  if (list.whole) fetching_ = false;
+  ++counters_.lists;
+  next();  // first: a watch goes on only if its next call comes soon
+  heard_.listed(list);
+}
+
+void Discovery::broken(bool may_be_stale) {
+  if (may_be_stale) {  // a kept connection was closed meanwhile: once more, on a new one
+    hang_up();
+    stale_ = false;
+    return dial_out();
+  }
+  spdlog::warn("discovery's answer is lost after {} ms",
+               (loop_.now() - (deadline_.number ? deadline_.when - patience_ : loop_.now())) / 10);
+  hang_up();
+  loop_.cancel(deadline_);
+  out_ = watching_ = fetching_ = false;
+  ++counters_.lists_lost;
+  heard_.lost();
+}
+
+void Discovery::hang_up() {
+  loop_.unwatch(watched_);
+  socket_.close();
+  connected_ = false;
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/http.cpp
@@ -0,0 +1,102 @@
+#include "http.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace dapplewharf {
+namespace {
+
+constexpr std::size_t kLongestHead = 16 * 1024;
+constexpr std::size_t kLargestBody = 4 * 1024 * 1024;
+
+std::string lower(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  return out;
+}
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r'))
+    text.remove_suffix(1);
+  return text;
+}
+
+bool number_of(std::string_view text, int base, std::size_t& to) {
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), to, base);
+  return fault == std::errc() && end != text.data() && to <= kLargestBody;
+}
+
+// One line without its end; false when it has not come whole.
+bool line_of(std::string_view& rest, std::string_view& line) {
+  const std::size_t end = rest.find('\n');
+  if (end == std::string_view::npos) return false;
+  line = trimmed(rest.substr(0, end));
+  rest.remove_prefix(end + 1);
+  return true;
+}
+
+void pieces_of(std::string_view rest, Answer& answer) {
+  std::string_view line;
+  std::size_t size = 0;
+  while (line_of(rest, line)) {
+    if (!number_of(line.substr(0, line.find(';')), 16, size) || answer.body.size() + size > kLargestBody) {
+      answer.state = Answer::State::bad;
+      return;
+    }
+    if (size == 0) {
+      while (line_of(rest, line))
+        if (line.empty()) answer.state = Answer::State::done;
+      return;
+    }
+    if (rest.size() < size + 1) return;
+    answer.body += rest.substr(0, size);
+    rest.remove_prefix(size);
+    if (!line_of(rest, line)) return;
+  }
+}
+
+}  // namespace
+
+std::string get_request(const std::string& host, const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n";
+}
+
+Answer answer_of(std::string_view in, bool ended) {
+  Answer answer;
+  std::string_view rest = in, line;
+  bool chunked = false, sized = false, head = false;
+  std::size_t size = 0, status = 0;
+  const auto bad = [&] {
+    answer.state = Answer::State::bad;
+    return answer;
+  };
+  if (line_of(rest, line)) {
+    if (!line.starts_with("HTTP/1.") || line.size() < 12 || !number_of(line.substr(9, 3), 10, status))
+      return bad();
+    answer.status = static_cast<int>(status);
+    answer.closes = line.starts_with("HTTP/1.0");
+    while (!head && line_of(rest, line)) {
+      head = line.empty();
+      const std::size_t colon = line.find(':');
+      if (head || colon == std::string_view::npos) continue;
+      const std::string name = lower(line.substr(0, colon)), value = lower(trimmed(line.substr(colon + 1)));
+      if (name == "content-length" && !(sized = number_of(value, 10, size))) return bad();
+      if (name == "transfer-encoding") chunked = value.find("chunked") != std::string::npos;
+      if (name == "connection") answer.closes = value.find("close") != std::string::npos;
+    }
+  }
+  if (!head) return in.size() > kLongestHead || ended ? bad() : answer;
+  if (chunked) pieces_of(rest, answer);
+  else if (sized ? rest.size() >= size : ended) {
+    answer.body = sized ? rest.substr(0, size) : rest;
+    answer.state = Answer::State::done;
+  }
+  if (!chunked && !sized) answer.closes = true;
+  if (answer.state == Answer::State::more && (ended || rest.size() > kLargestBody)) return bad();
+  return answer;
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/lines.h
@@ -0,0 +1,40 @@
+// The protocol's lines: parsing and rewriting only. Owns no bytes and no sockets, and never decides what a
+// line leads to.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "../words.h"
+
+namespace dapplewharf {
+
+constexpr std::size_t kLongestLine = 4096;
+
+// A client's first line: the bytes that came, and where in them what decisions need is found.
+struct Opening {
+  std::string line;  // with its end
+  std::string traffic_type, tenant, at;
+  std::optional<std::int64_t> key, group;
+  Tenths wait = 0;  // how long the client waits, from when it sent the line
+  bool repeated = false, returned = false;
+  std::size_t wait_at = 0, wait_size = 0;  // the figure of `d` in the line
+};
+
+struct Opened {
+  std::optional<Opening> opening;
+  std::string fault;  // what is wrong, where there is none
+};
+
+Opened opening_of(std::string_view line);  // with or without its end
+std::string with_wait(const Opening& opening, Tenths wait);
+
+enum class Word { up, busy, error, bye, move, load, ping, pong, no, other };
+Word word_of(std::string_view line);
+double load_of(std::string_view line);  // of a LOAD line; below 0 where there is no figure
+
+std::string_view without_end(std::string_view line);
+std::int64_t whole_of(std::string_view word);  // hexadecimal digits as a number, anything else by its hash
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/loop.cpp
@@ -0,0 +1,82 @@
+#include "loop.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+
+namespace dapplewharf {
+namespace {
+
+template <class Clock>
+Tenths tenths() {
+  const auto since = Clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(since).count() / 100;
+}
+
+}  // namespace
+
+Tenths Loop::unix_now() { return tenths<std::chrono::system_clock>(); }
+
+Loop::Loop() : start_(unix_now() - tenths<std::chrono::steady_clock>()) { tick(); }
+
+void Loop::tick() { now_ = std::max(now_, start_ + tenths<std::chrono::steady_clock>()); }
+
+Ticket Loop::watch(int descriptor, short events, Ready ready) {
+  return watched_.add({descriptor, events, std::move(ready)});
+}
+
+void Loop::want(Ticket watched, short events) {
+  if (Watched* found = watched_.find(watched)) found->events = events;
+}
+
+void Loop::at(Deadline& deadline, Tenths when, Due due) {
+  cancel(deadline);
+  deadline = {when, ++numbers_};
+  deadlines_.emplace(deadline, std::move(due));
+}
+
+void Loop::cancel(Deadline& deadline) {
+  if (deadline.number != 0) deadlines_.erase(deadline);
+  deadline = {};
+}
+
+// Danger: one connection's fault ends the process and all others with it.
+void Loop::run(const Due& what) const {
+  try {
+    what();
+  } catch (const std::exception& error) { spdlog::error("fault contained: {}", error.what()); }
+}
+
+void Loop::turn(Tenths longest) {
+  tick();
+  while (!deadlines_.empty() && deadlines_.begin()->first.when <= now_) {
+    const Due due = std::move(deadlines_.begin()->second);
+    deadlines_.erase(deadlines_.begin());
+    run(due);
+  }
+  std::vector<pollfd> polled;
+  std::vector<Ticket> tickets;
+  watched_.each([&](Ticket ticket, const Watched& watched) {
+    if (watched.events == 0) return;  // danger: an end that is not to be read yet would wake poll for ever
+    polled.push_back({watched.descriptor, watched.events, 0});
+    tickets.push_back(ticket);
+  });
+  Tenths wait = longest;
+  if (!deadlines_.empty()) wait = std::min(wait, deadlines_.begin()->first.when - now_);
+  const auto ms = static_cast<int>((std::max<Tenths>(wait, 0) + 9) / 10);  // never before its time
+  const int found = poll(polled.data(), polled.size(), ms);
+  tick();
+  if (found < 0 && errno != EINTR) spdlog::error("poll: error {}", errno);
+  if (found <= 0) return;
+  for (std::size_t i = 0; i < polled.size(); ++i) {
+    if (polled[i].revents == 0) continue;
+    Watched* watched = watched_.find(tickets[i]);
+    if (!watched) continue;
+    const Ready ready = watched->ready;  // it may drop itself
+    run([&] { ready(polled[i].revents); });
+  }
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/loop.h
@@ -0,0 +1,54 @@
+// The one loop: poll(2) over all descriptors, and all deadlines in one ordered structure. Owns neither
+// sockets nor what is done when one is ready; never blocks but in poll, and never lets an exception past the
+// call that it was thrown in.
+#pragma once
+#include <poll.h>
+
+#include <functional>
+#include <map>
+
+#include "../words.h"
+#include "slots.h"
+
+namespace dapplewharf {
+
+class Loop {
+ public:
+  using Ready = std::function<void(short)>;  // is given what poll found
+  using Due = std::function<void()>;
+  struct Deadline {
+    Tenths when = 0;
+    std::uint64_t number = 0;  // 0: none
+    auto operator<=>(const Deadline&) const = default;
+  };
+
+  Loop();
+  // Steady, and counted from Unix time as it was when the loop was made.
+  Tenths now() const { return now_; }
+  static Tenths unix_now();
+
+  Ticket watch(int descriptor, short events, Ready ready);
+  void want(Ticket watched, short events);  // 0: nothing, not even its end
+  void unwatch(Ticket watched) { watched_.drop(watched); }
+
+  void at(Deadline& deadline, Tenths when, Due due);  // in place of what stood there
+  void cancel(Deadline& deadline);
+
+  void turn(Tenths longest);  // what is due, then one poll and what it found
+
+ private:
+  struct Watched {
+    int descriptor = -1;
+    short events = 0;
+    Ready ready;
+  };
+  void tick();
+  void run(const Due& what) const;
+
+  Tenths start_ = 0, now_ = 0;
+  std::uint64_t numbers_ = 0;
+  Slots<Watched> watched_;
+  std::map<Deadline, Due> deadlines_;
+};
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,274 @@
+#include "node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "../notes.h"
+#include "../settings.h"
+
+namespace dapplewharf {
+namespace {
+
+constexpr Tenths kLookEvery = 100 * kMs;    // at how long lines have been unanswered
+constexpr Tenths kMeterSpan = 2 * kSecond;  // as often as clients send a line
+constexpr Tenths kTellEvery = kSecond;
+constexpr Tenths kStillComing = kSecond;  // clients go on coming that long after SIGTERM
+constexpr Tenths kProbeSlack = 50 * kMs;  // over the time to connect, for a probe's answer
+
+std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
+
+}  // namespace
+
+std::optional<Tenths> Meter::tell(Tenths now, Tenths limit, std::vector<Tenths> unanswered) {
+  while (!seen_.empty() && now - seen_.front().first >= kMeterSpan) seen_.pop_front();
+  std::erase_if(unanswered, [&](Tenths age) { return age <= limit; });  // too young to say anything
+  for (const auto& [when, delay] : seen_) unanswered.push_back(delay);
+  if (unanswered.empty()) return std::nullopt;
+  const auto middle = unanswered.begin() + static_cast<std::ptrdiff_t>(unanswered.size() / 2);
+  std::nth_element(unanswered.begin(), middle, unanswered.end());
+  const bool over = *middle > limit;
+  if (over ? now - told_at_ < kTellEvery && over_ : !over_) return std::nullopt;
+  over_ = over;
+  told_at_ = now;
+  return *middle;
+}
+
+Outcome outcome_of(TryEnd end) {
+  switch (end.cause) {
+    case Cause::no_descriptor: return Outcome::not_sent;  // says nothing of the host
+    case Cause::client:
+    case Cause::cancelled:
+    case Cause::move: return Outcome::cancelled;
+    case Cause::bye: return Outcome::honoured;
+    case Cause::busy: return Outcome::turned_away;
+    case Cause::error:
+    case Cause::nonsense: return Outcome::error;
+    case Cause::time_out:
+    case Cause::broken:
+    case Cause::closed: break;
+  }
+  if (end.reach < Reach::written) return Outcome::no_connection;  // its last byte never went out
+  return end.cause == Cause::time_out ? Outcome::no_answer : Outcome::lost;
+}
+
+Node::Node(Loop& loop, Configuration configuration)
+    : loop_(loop),
+      configuration_(std::move(configuration)),
+      settings_(settings_of(configuration_.env)),
+      groups_(configuration_.env.value("/extra/groups"_json_pointer, false)),
+      shortest_goal_(static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0))),
+      choice_(settings_, configuration_.seed, loop.now()),
+      relay_(
+          loop, counters_, configuration_.descriptors,
+          static_cast<Tenths>(number(settings_, "connect_time", kSecond)),
+          {[this](Ticket at, const Opening& opening) { came(at, opening); }, [this](Ticket at) { left(at); },
+           [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
+           [this](Ticket at, Tenths delay) {
+             if (const Held* found = held(at)) meters_[found->host].line_back(loop_.now(), delay);
+           },
+           [this](Ticket at, double load) {
+             if (const Held* found = held(at))
+               tell(EventKind::load_told, id_of(at), found->host).figure = load;
+           }}),
+      discovery_(loop, counters_, configuration_.discovery, configuration_.descriptors,
+                 {[this](const List& list) {
+                    losses_ = 0;
+                    listed(list, list.whole ? EventKind::list_whole : EventKind::list_changes);
+                  },
+                  [this] {
+                    ++losses_;
+                    tell(EventKind::list_lost);
+                    subscribe();
+                  }}),
+      probes_(loop, counters_, configuration_.descriptors,
+              static_cast<Tenths>(number(settings_, "connect_time", kSecond)) + kProbeSlack,
+              [this](const std::string& host, TryEnd end, Tenths took) {
+                Event& event = tell(EventKind::probe_ended, "", host);
+                event.outcome = outcome_of(end);
+                event.took = took;
+              }) {}
+
+std::optional<std::string> Node::start() {
+  List known;
+  if (configuration_.known.is_object()) {
+    known = list_of(configuration_.known, discovery_.starts, loop_.now(), Loop::unix_now());
+    discovery_.knows(known.version);
+  }
+  listed(known, EventKind::list_copy);
+  settle();
+  subscribe();
+  look();
+  const auto at = address_of(configuration_.listen);
+  return at ? relay_.listen(*at) : std::string("no address of the form a.b.c.d:port");
+}
+
+// Where changes come unasked the module never asks; the node keeps the watch up, with growing waits.
+void Node::subscribe() {
+  if (text(settings_, "discovery") == "on_request") return;
+  const Tenths wait = losses_ == 0 ? 0 : std::min<Tenths>(2500 << std::min(losses_, 5), 4 * kSecond);
+  loop_.at(again_, loop_.now() + wait, [this] { discovery_.watch(); });
+}
+
+Event& Node::tell(EventKind kind, const std::string& id, const std::string& host) {
+  Event& event = events_.emplace_back();
+  event.kind = kind;
+  event.id = id;
+  event.host = host;
+  return event;
+}
+
+Node::Held* Node::held(Ticket ticket) {
+  const auto found = held_.find(id_of(ticket));
+  return found == held_.end() ? nullptr : &found->second;
+}
+
+void Node::came(Ticket ticket, const Opening& opening) {
+  Held made;
+  made.ticket = ticket;
+  Event& event = tell(opening.at.empty() ? EventKind::attachment : EventKind::handed_over, id_of(ticket));
+  event.traffic_type = opening.traffic_type;
+  event.tenant = opening.tenant;
+  event.key = opening.key;
+  if (groups_) event.group = opening.group;
+  event.expiry = loop_.now() + opening.wait;
+  event.repeated = opening.repeated;
+  event.returned = opening.returned;
+  if (!opening.at.empty()) {
+    ++counters_.handed_over;
+    event.host = made.host = opening.at;
+    made.tries = 1;
+    made.sent = loop_.now();
+    made.out = true;
+  }
+  held_[event.id] = made;
+  if (opening.at.empty()) return;
+  const auto address = addresses_.find(opening.at);
+  relay_.try_at(ticket, address_of(address == addresses_.end() ? "" : address->second), opening.wait);
+}
+
+void Node::left(Ticket ticket) {
+  Held* found = held(ticket);
+  if (!found) return;
+  tell(EventKind::client_left, id_of(ticket));
+  if (found->out) found->over = true;
+  else held_.erase(id_of(ticket));
+}
+
+void Node::up(Ticket ticket) {
+  Held* found = held(ticket);
+  if (!found) return;
+  found->up = true;
+  Event& event = tell(EventKind::established, id_of(ticket), found->host);
+  event.number = found->tries - 1;
+  event.took = loop_.now() - found->sent;
+}
+
+void Node::ended(Ticket ticket, TryEnd end) {
+  Held* found = held(ticket);
+  if (!found || !found->out) return;
+  Event& event = tell(EventKind::try_ended, id_of(ticket), found->host);
+  event.number = found->tries - 1;
+  event.outcome = outcome_of(end);
+  event.took = loop_.now() - found->sent;
+  event.final = found->up || found->over;
+  switch (event.outcome) {
+    case Outcome::honoured: ++counters_.ended; break;
+    case Outcome::error: ++counters_.errors; break;
+    case Outcome::turned_away: ++counters_.turned_away; break;
+    case Outcome::no_answer: ++counters_.unanswered; break;
+    case Outcome::no_connection: ++counters_.not_connected; break;
+    case Outcome::lost: ++counters_.lost; break;
+    case Outcome::cancelled: ++counters_.cancelled; break;
+    case Outcome::not_sent: ++counters_.not_sent; break;
+  }
+  found->out = false;
+  if (event.final) held_.erase(id_of(ticket));
+}
+
+void Node::listed(const List& list, EventKind kind) {
+  for (const auto& [host, address] : list.addresses) addresses_[host] = address;
+  tell(kind).listings = list.listings;
+}
+
+void Node::look() {
+  loop_.at(look_, loop_.now() + kLookEvery, [this] { look(); });
+  std::map<std::string, std::pair<std::string, std::vector<Tenths>>> hosts;  // a connection there; the ages
+  relay_.each_standing([&](Ticket ticket, Tenths unanswered) {
+    const Held* found = held(ticket);
+    if (!found || !found->up) return;
+    auto& [id, ages] = hosts[found->host];
+    id = id_of(ticket);
+    ages.push_back(unanswered);
+  });
+  for (auto& [host, seen] : hosts)
+    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_ / 3, std::move(seen.second)))
+      tell(EventKind::delay_told, seen.first, host).figure = static_cast<double>(*delay);
+}
+
+void Node::settle() {
+  while (!events_.empty()) {
+    const std::vector<Event> batch = std::exchange(events_, {});
+    for (const Action& action : choice_.take(loop_.now(), batch)) act(action);
+  }
+}
+
+void Node::answer(const std::string& id, const std::string& line) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  const Ticket ticket = found->second.ticket;
+  held_.erase(found);
+  relay_.answer(ticket, line);
+}
+
+void Node::act(const Action& action) {
+  const auto found = held_.find(action.id);
+  const auto address = addresses_.find(action.host);
+  const std::string at = address == addresses_.end() ? "" : address->second;
+  switch (action.kind) {
+    case ActionKind::setup_try:
+      if (found == held_.end()) return;
+      found->second.host = action.host;
+      found->second.sent = loop_.now();
+      ++found->second.tries;
+      found->second.out = true;
+      return relay_.try_at(found->second.ticket, address_of(at), action.time);
+    case ActionKind::cancel_try:
+      if (found != held_.end()) relay_.cancel(found->second.ticket);
+      return;
+    case ActionKind::reject:
+      ++counters_.rejected;
+      return answer(action.id, action.time > 0 ? "BUSY " + std::to_string(action.time / kMs) + "\r\n"
+                                               : std::string("BUSY\r\n"));
+    case ActionKind::scrap: ++counters_.scrapped; return answer(action.id, "ERR\r\n");
+    case ActionKind::move: {
+      if (found == held_.end()) return;
+      ++counters_.moved;
+      const Ticket ticket = found->second.ticket;
+      ended(ticket, {Reach::up, Cause::cancelled});
+      return relay_.move(ticket);
+    }
+    case ActionKind::probe: return probes_.probe(action.host, at);
+    case ActionKind::set_alarm: {
+      Loop::Deadline one;  // alarms are never withdrawn
+      return loop_.at(one, loop_.now() + action.time,
+                      [this, number = action.number] { tell(EventKind::alarm).number = number; });
+    }
+    case ActionKind::subscribe: return discovery_.watch();
+    case ActionKind::fetch_list: return discovery_.fetch();
+    case ActionKind::log: return spdlog::info("{}", action.text);
+  }
+}
+
+void Node::stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  stopped_at_ = loop_.now();
+  spdlog::info("stopping, connections open {}", relay_.open());
+}
+
+bool Node::done() const { return stopping_ && held_.empty() && loop_.now() - stopped_at_ >= kStillComing; }
+
+void Node::report() const { spdlog::info("{}", counters_.told()); }
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,87 @@
+// Facts to events, actions to sockets: the only place where the module and the network meet. Owns the module,
+// what is known of each attachment's tries and how long hosts take for a message. Never chooses a host, a
+// further try, a rejection or a move.
+#pragma once
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+
+#include "../choice.h"
+#include "counters.h"
+#include "discovery.h"
+#include "probes.h"
+#include "relay.h"
+
+namespace dapplewharf {
+
+struct Configuration {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  int descriptors = 1024;
+  nlohmann::json known, env;  // the list as last had; the settings
+};
+
+// How long a host takes for a message, from the lines of all connections to it.
+class Meter {
+ public:
+  void line_back(Tenths now, Tenths delay) { seen_.emplace_back(now, delay); }
+  // What is to be told now, if anything: once a second while it is over `limit`, and once more when it is
+  // under.
+  std::optional<Tenths> tell(Tenths now, Tenths limit, std::vector<Tenths> unanswered);
+
+ private:
+  std::deque<std::pair<Tenths, Tenths>> seen_;
+  Tenths told_at_ = 0;
+  bool over_ = false;
+};
+
+Outcome outcome_of(TryEnd end);
+
+class Node {
+ public:
+  Node(Loop& loop, Configuration configuration);  // throws std::runtime_error on a setting that is missing
+
+  std::optional<std::string> start();  // what went wrong, if anything
+  void settle();                       // lets the module see what happened in this turn
+  void stop();                         // SIGTERM
+  bool done() const;                   // may end
+  void report() const;                 // the counters, to the log
+
+ private:
+  struct Held {
+    Ticket ticket;
+    std::string host;
+    int tries = 0;
+    Tenths sent = 0;
+    bool out = false, up = false, over = false;  // over: answered, moved or left
+  };
+  void came(Ticket ticket, const Opening& opening);
+  void left(Ticket ticket);
+  void up(Ticket ticket);
+  void ended(Ticket ticket, TryEnd end);
+  void listed(const List& list, EventKind kind);
+  void look();
+  void act(const Action& action);
+  void answer(const std::string& id, const std::string& line);
+  void subscribe();
+  Event& tell(EventKind kind, const std::string& id = "", const std::string& host = "");
+  Held* held(Ticket ticket);
+
+  Loop& loop_;
+  Counters counters_;
+  Configuration configuration_;
+  Settings settings_;
+  bool groups_ = false, stopping_ = false;
+  Tenths stopped_at_ = 0, shortest_goal_ = 0;
+  int losses_ = 0;
+  Choice choice_;
+  Relay relay_;
+  Discovery discovery_;
+  Probes probes_;
+  std::vector<Event> events_;
+  std::unordered_map<std::string, Held> held_;
+  std::map<std::string, std::string> addresses_;
+  std::map<std::string, Meter> meters_;
+  Loop::Deadline look_, again_;
+};
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/probes.cpp
@@ -0,0 +1,101 @@
+#include "probes.h"
+
+namespace dapplewharf {
+namespace {
+
+const std::string kPing = "PING\r\n";
+
+}  // namespace
+
+Probes::Probes(Loop& loop, Counters& counters, int descriptors, Tenths patience, Told told)
+    : loop_(loop),
+      counters_(counters),
+      descriptors_(descriptors),
+      patience_(patience),
+      told_(std::move(told)) {}
+
+void Probes::probe(const std::string& host, const std::string& address) {
+  Line& line = lines_[host];
+  if (line.out) return;
+  ++counters_.probes;
+  line.out = true;
+  line.since = loop_.now();
+  line.sent = 0;
+  line.in.clear();
+  loop_.at(line.deadline, loop_.now() + patience_, [this, host] {
+    const auto found = lines_.find(host);
+    if (found != lines_.end()) over(host, found->second, Cause::time_out, false);
+  });
+  if (line.address != address) {  // it moved
+    loop_.unwatch(line.watched);
+    line.socket.close();
+    line.address = address;
+  }
+  line.stale = static_cast<bool>(line.socket);
+  if (!line.socket) return dial_out(host, line);
+  loop_.want(line.watched, POLLIN | POLLOUT);
+}
+
+void Probes::dial_out(const std::string& host, Line& line) {
+  line.reach = Reach::not_connected;
+  line.stale = false;
+  line.sent = 0;
+  const auto to = address_of(line.address);
+  const Dial dialled = to ? dial(*to, descriptors_, line.socket) : Dial::refused;
+  if (dialled != Dial::begun)
+    return over(host, line, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor, false);
+  line.watched = loop_.watch(line.socket.number(), POLLOUT, [this, host](short) { ready(host); });
+}
+
+void Probes::ready(const std::string& host) {
+  const auto found = lines_.find(host);
+  if (found == lines_.end() || !found->second.socket) return;
+  Line& line = found->second;
+  if (line.reach == Reach::not_connected) {
+    if (!line.socket.connected()) return over(host, line, Cause::broken, false);
+    line.reach = Reach::partly_written;
+  }
+  bool ended = false;
+  auto got = line.socket.receive(line.in, kLongestLine, ended);
+  if (line.out && line.sent < kPing.size() && got && !ended) {
+    const auto given = line.socket.send(kPing.data() + line.sent, kPing.size() - line.sent);
+    if (given) line.sent += *given;
+    else got = std::nullopt;
+    if (line.sent == kPing.size()) line.reach = Reach::written;
+  }
+  if (!got || ended) {
+    if (line.out && line.stale && line.in.empty()) {  // a kept connection had ended meanwhile
+      loop_.unwatch(line.watched);
+      line.socket.close();
+      return dial_out(host, line);
+    }
+    return over(host, line, ended ? Cause::closed : Cause::broken, false);
+  }
+  loop_.want(line.watched, line.out && line.sent < kPing.size() ? POLLIN | POLLOUT : POLLIN);
+  const std::size_t end = line.in.find('\n');
+  if (end == std::string::npos) {
+    if (line.in.size() > kLongestLine) over(host, line, Cause::nonsense, false);
+    return;
+  }
+  const Word word = word_of(std::string_view(line.in).substr(0, end + 1));
+  line.in.erase(0, end + 1);
+  const Cause cause = word == Word::pong    ? Cause::bye
+                      : word == Word::error ? Cause::error
+                      : word == Word::busy  ? Cause::busy
+                                            : Cause::nonsense;
+  over(host, line, cause, cause == Cause::bye || cause == Cause::error);
+}
+
+void Probes::over(const std::string& host, Line& line, Cause cause, bool keep) {
+  const TryEnd end{line.reach, cause};
+  const bool told = std::exchange(line.out, false);
+  loop_.cancel(line.deadline);
+  if (!keep) {
+    loop_.unwatch(line.watched);
+    line.socket.close();
+    line.reach = Reach::not_connected;
+  }
+  if (told) told_(host, end, loop_.now() - line.since);
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/probes.h
@@ -0,0 +1,43 @@
+// Probes: PING to a host on a connection kept for it, opened when there is none. Owns those connections;
+// tells how each probe ended and never decides when to probe.
+#pragma once
+#include "counters.h"
+#include "loop.h"
+#include "relay.h"
+#include "socket.h"
+
+namespace dapplewharf {
+
+class Probes {
+ public:
+  using Told = std::function<void(const std::string& host, TryEnd end, Tenths took)>;  // bye: answered well
+  Probes(Loop& loop, Counters& counters, int descriptors, Tenths patience, Told told);
+
+  void probe(const std::string& host, const std::string& address);
+  void forget(const std::string& host) { lines_.erase(host); }
+
+ private:
+  struct Line {
+    std::string address;
+    Socket socket;
+    Ticket watched;
+    Loop::Deadline deadline;
+    Reach reach = Reach::not_connected;
+    bool out = false, stale = false;
+    Tenths since = 0;
+    std::string in;
+    std::size_t sent = 0;
+  };
+  void dial_out(const std::string& host, Line& line);
+  void ready(const std::string& host);
+  void over(const std::string& host, Line& line, Cause cause, bool keep);
+
+  Loop& loop_;
+  Counters& counters_;
+  int descriptors_;
+  Tenths patience_;
+  Told told_;
+  std::map<std::string, Line> lines_;
+};
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/relay.cpp
@@ -0,0 +1,430 @@
+#include "relay.h"
+
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace dapplewharf {
+namespace {
+
+constexpr std::size_t kBuffer = 16 * 1024;  // bytes held for one side before the other is no longer read
+constexpr Tenths kGreetingTime = 100000;    // for a first line to come whole
+constexpr Tenths kKnownTime = 600000;       // for the next, from one that has sent PING
+constexpr Tenths kClosingTime = 10000;      // for the last bytes to be taken
+constexpr Tenths kLinger = 50000;           // a half-closed connection on which nothing comes
+constexpr std::size_t kUnansweredKept = 8;
+constexpr std::size_t kHeadKept = 32;
+
+}  // namespace
+
+Relay::Relay(Loop& loop, Counters& counters, int descriptors, Tenths connect_time, Heard heard)
+    : loop_(loop),
+      counters_(counters),
+      descriptors_(descriptors),
+      connect_time_(connect_time),
+      heard_(std::move(heard)),
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
+
+std::optional<std::string> Relay::listen(const sockaddr_in& at) {
+  if (auto fault = listen_at(at, listener_)) return fault;
+  loop_.watch(listener_.number(), POLLIN, [this](short) { accept_all(); });
+  return std::nullopt;
+}
+
+void Relay::accept_all() {
+  for (int i = 0; i < 256; ++i) {
+    Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!taken) {
+      if (errno == EMFILE || errno == ENFILE) turn_away_one();
+      if (errno == ECONNABORTED || errno == EINTR) continue;
+      return;
+    }
+    ++counters_.accepted;
+    const int on = 1;
+    setsockopt(taken.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    // Danger: with all descriptors taken clients would hang unheard; the last ones serve to turn them away.
+    if (taken.number() >= descriptors_ - kKeptBack / 2) {
+      ++counters_.no_descriptor;
+      taken.send("BUSY\r\n", 6);
+      taken.finish();
+      continue;
+    }
+    const int descriptor = taken.number();
+    Link link;
+    link.client.socket = std::move(taken);
+    const Ticket ticket = links_.add(std::move(link));
+    Link& held = *links_.find(ticket);
+    held.client.watched =
+        loop_.watch(descriptor, POLLIN, [this, ticket](short) { guarded(ticket, &Relay::client_ready); });
+    loop_.at(held.deadline, loop_.now() + kGreetingTime, [this, ticket] { drop(ticket); });
+  }
+}
+
+void Relay::turn_away_one() {
+  spare_.close();
+  {
+    Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (taken) {
+      ++counters_.no_descriptor;
+      taken.send("BUSY\r\n", 6);
+      taken.finish();
+    }
+  }
+  spare_ = Socket(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+  errno = EMFILE;
+}
+
+// Danger: what one connection sends must cost no other.
+void Relay::guarded(Ticket ticket, void (Relay::*what)(Ticket)) {
+  try {
+    (this->*what)(ticket);
+  } catch (const std::exception& error) {
+    spdlog::error("connection dropped: {}", error.what());
+    if (Link* link = links_.find(ticket)) finished(ticket, *link);
+  }
+}
+
+void Relay::client_ready(Ticket ticket) {
+  Link* link = links_.find(ticket);
+  if (!link) return;
+  Side& client = link->client;
+  if (link->phase == Phase::relaying) {
+    bool ended = false;
+    const std::size_t before = link->host.out.size();
+    if (!client.in_ended && before < kBuffer) {
+      const auto got = client.socket.receive(link->host.out, kBuffer - before, ended);
+      if (!got) {
+        link->client_first = true;
+        return broke(ticket, *link, link->host);
+      }
+      from_client(*link, before);
+      if (ended) client.in_ended = true, link->client_first = !link->host.in_ended, set_linger(ticket);
+    }
+    return settle(ticket, *link);
+  }
+  if (link->phase == Phase::closing) {
+    std::string ignored;
+    bool ended = false;
+    const auto got = client.socket.receive(ignored, kBuffer, ended);
+    if (!got || ended) return drop(ticket);
+    return flush_closing(ticket, *link);
+  }
+  bool ended = false;
+  const auto got = client.socket.receive(link->early, 2 * kLongestLine - link->early.size(), ended);
+  if (got && !ended) {
+    if (link->phase == Phase::greeting) return greet(ticket, *link);
+    if (link->early.size() >= kLongestLine) loop_.want(client.watched, 0);  // no more until it stands
+    return;
+  }
+  if (link->phase == Phase::greeting) {
+    if (!link->early.empty()) ++counters_.malformed;
+    return drop(ticket);
+  }
+  // The client has gone, or ends its sending: it gets an answer in case it still listens.
+  ++counters_.left;
+  heard_.client_left(ticket);
+  end_try(ticket, *link, Cause::client);
+  if (got) close_after(ticket, *link, "ERR\r\n");
+  else drop(ticket);
+}
+
+void Relay::greet(Ticket ticket, Link& link) {
+  for (;;) {
+    const std::size_t end = link.early.find('\n');
+    const bool long_one = end == std::string::npos ? link.early.size() >= kLongestLine : end >= kLongestLine;
+    if (end == std::string::npos && !long_one) return;
+    const std::string line = long_one ? "" : link.early.substr(0, end + 1);
+    if (word_of(line) == Word::ping) {
+      ++counters_.greeted;
+      link.early.erase(0, end + 1);
+      link.client.socket.send("PONG\r\n", 6);
+      loop_.at(link.deadline, loop_.now() + kKnownTime, [this, ticket] { drop(ticket); });
+      continue;
+    }
+    Opened opened = opening_of(line);
+    if (!opened.opening) {
+      ++counters_.malformed;
+      spdlog::warn("client's first line is malformed: {}", long_one ? "too long" : opened.fault);
+      return close_after(ticket, link, "ERR\r\n");
+    }
+    link.early.erase(0, end + 1);
+    link.opening = std::move(*opened.opening);
+    link.phase = Phase::waiting;
+    loop_.cancel(link.deadline);
+    ++counters_.taken;
+    return heard_.came(ticket, link.opening);
+  }
+}
+
+void Relay::try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out) {
+  Link* link = links_.find(ticket);
+  if (!link || link->phase != Phase::waiting || link->try_out) return;
+  ++counters_.tries;
+  link->try_out = true;
+  link->reach = Reach::not_connected;
+  link->connected = false;
+  link->first.clear();
+  link->try_until = loop_.now() + time_out;
+  const Dial dialled = address ? dial(*address, descriptors_, link->host.socket) : Dial::refused;
+  if (dialled != Dial::begun)
+    return end_try(ticket, *link, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor);
+  link->host.watched = loop_.watch(link->host.socket.number(), POLLOUT,
+                                   [this, ticket](short) { guarded(ticket, &Relay::host_ready); });
+  const Tenths connect_until = std::min(link->try_until, loop_.now() + connect_time_);
+  loop_.at(link->deadline, connect_until, [this, ticket] {
+    if (Link* late = links_.find(ticket)) end_try(ticket, *late, Cause::time_out);
+  });
+}
+
+bool Relay::deliver(Ticket ticket, Link& link) {
+  if (!link.connected) {
+    if (!link.host.socket.connected()) return end_try(ticket, link, Cause::broken), false;
+    link.connected = true;
+    link.reach = Reach::partly_written;
+    link.host.out = with_wait(link.opening, link.try_until - loop_.now());
+    loop_.at(link.deadline, link.try_until, [this, ticket] {
+      if (Link* late = links_.find(ticket)) end_try(ticket, *late, Cause::time_out);
+    });
+  }
+  if (link.reach == Reach::written) return true;
+  const auto given = link.host.socket.send(link.host.out.data(), link.host.out.size());
+  if (!given) return end_try(ticket, link, Cause::broken), false;
+  link.host.out.erase(0, *given);
+  if (link.host.out.empty()) {
+    link.reach = Reach::written;
+    ++counters_.tries_written;
+  }
+  loop_.want(link.host.watched, link.host.out.empty() ? POLLIN : POLLIN | POLLOUT);
+  return true;
+}
+
+void Relay::host_ready(Ticket ticket) {
+  Link* link = links_.find(ticket);
+  if (!link || !link->host.socket) return;
+  if (link->phase == Phase::waiting) {
+    if (deliver(ticket, *link)) await_up(ticket, *link);
+    return;
+  }
+  Side& host = link->host;
+  const std::size_t before = link->client.out.size();
+  if (!host.in_ended && before < kBuffer) {
+    bool ended = false;
+    const auto got = host.socket.receive(link->client.out, kBuffer - before, ended);
+    if (!got) return broke(ticket, *link, link->client);
+    if (ended) host.in_ended = true, set_linger(ticket);
+    from_host(ticket, *link, before);
+    if (link->phase != Phase::relaying) return;  // moved
+  }
+  settle(ticket, *link);
+}
+
+void Relay::await_up(Ticket ticket, Link& link) {
+  bool ended = false;
+  const auto got = link.host.socket.receive(link.first, kBuffer - link.first.size(), ended);
+  if (!got) return end_try(ticket, link, Cause::broken);
+  const std::size_t end = link.first.find('\n');
+  if (end == std::string::npos) {
+    if (ended) end_try(ticket, link, Cause::closed);
+    else if (link.first.size() > kLongestLine) end_try(ticket, link, Cause::nonsense);
+    return;
+  }
+  const Word word = word_of(std::string_view(link.first).substr(0, end + 1));
+  if (word == Word::busy) return end_try(ticket, link, Cause::busy);
+  if (word == Word::error) return end_try(ticket, link, Cause::error);
+  if (word != Word::up || link.reach != Reach::written) {
+    spdlog::warn("a host answered nonsense: {}", link.first.substr(0, std::min<std::size_t>(end, 80)));
+    return end_try(ticket, link, Cause::nonsense);
+  }
+  loop_.cancel(link.deadline);
+  link.phase = Phase::relaying;
+  link.reach = Reach::up;
+  link.flowed = loop_.now();
+  ++counters_.up;
+  ++counters_.honoured;
+  link.client.out = std::exchange(link.first, {});
+  link.whole = end + 1;
+  link.host.out = std::exchange(link.early, {});
+  link.host.in_ended = ended;
+  if (ended) set_linger(ticket);
+  heard_.up(ticket);
+  if (!links_.find(ticket) || link.phase != Phase::relaying) return;
+  from_client(link, 0);
+  from_host(ticket, link, end + 1);
+  if (link.phase == Phase::relaying) settle(ticket, link);
+}
+
+void Relay::drop_host(Link& link) {
+  loop_.unwatch(link.host.watched);
+  link.host = Side();
+}
+
+void Relay::end_try(Ticket ticket, Link& link, Cause cause) {
+  if (!link.try_out) return;
+  link.try_out = false;
+  loop_.cancel(link.deadline);
+  drop_host(link);
+  heard_.over(ticket, {link.reach, cause});
+}
+
+void Relay::cancel(Ticket ticket) {
+  Link* link = links_.find(ticket);
+  if (link && link->phase == Phase::waiting) end_try(ticket, *link, Cause::cancelled);
+}
+
+void Relay::from_client(Link& link, std::size_t from) {
+  counters_.bytes_to_hosts += link.host.out.size() - from;
+  link.flowed = loop_.now();
+  for (std::size_t at = from; (at = link.host.out.find('\n', at)) != std::string::npos; ++at)
+    if (link.unanswered.size() < kUnansweredKept) link.unanswered.push_back(loop_.now());
+}
+
+void Relay::from_host(Ticket ticket, Link& link, std::size_t from) {
+  counters_.bytes_to_clients += link.client.out.size() - from;
+  link.flowed = loop_.now();
+  for (std::size_t at = from; at < link.client.out.size(); ++at) {
+    const char byte = link.client.out[at];
+    if (link.head.size() < kHeadKept) link.head += byte;
+    if (byte != '\n') continue;
+    link.whole = at + 1;
+    link.within_line = false;
+    host_line(ticket, link);
+    link.head.clear();
+    if (link.moves) return move(ticket);
+  }
+}
+
+void Relay::host_line(Ticket ticket, Link& link) {
+  link.last = word_of(link.head);
+  if (link.last == Word::load) return heard_.load_told(ticket, load_of(link.head));
+  if (link.last == Word::bye || link.last == Word::move || link.unanswered.empty()) return;
+  const Tenths since = link.unanswered.front();
+  link.unanswered.pop_front();
+  heard_.line_back(ticket, loop_.now() - since);
+}
+
+// Sends what may go to a side; false when that side is broken. A client is sent whole lines, so that MOVE can
+// always stand between two, but for lines longer than the protocol's and for what comes before an end.
+bool Relay::flush(Link& link, Side& side, const Side& other) {
+  const bool to_client = &side == &link.client;
+  std::size_t may = side.out.size();
+  if (to_client && !other.in_ended && may - link.whole < kLongestLine) may = link.whole;
+  if (may > 0) {
+    const auto given = side.socket.send(side.out.data(), may);
+    if (!given) return false;
+    if (to_client && *given > 0) {
+      link.within_line = side.out[*given - 1] != '\n' && *given >= link.whole;
+      link.whole -= std::min(link.whole, *given);
+    }
+    side.out.erase(0, *given);
+    if (side.out.empty()) side.out.shrink_to_fit();
+  }
+  if (other.in_ended && side.out.empty() && !side.out_ended) {
+    side.out_ended = true;  // a FIN is passed on as one
+    side.socket.finish();
+  }
+  return true;
+}
+
+void Relay::settle(Ticket ticket, Link& link) {
+  if (!flush(link, link.host, link.client)) return broke(ticket, link, link.client);
+  if (!flush(link, link.client, link.host)) {
+    link.client_first = link.client_first || !link.host.in_ended;
+    return broke(ticket, link, link.host);
+  }
+  if (link.client.out_ended && link.host.out_ended) return finished(ticket, link);
+  const auto events = [](const Side& side, const Side& other, bool sends) {
+    return static_cast<short>((!side.in_ended && other.out.size() < kBuffer ? POLLIN : 0) |
+                              (sends ? POLLOUT : 0));
+  };
+  const bool to_client = link.whole > 0 || link.client.out.size() >= kLongestLine ||
+                         (link.host.in_ended && !link.client.out.empty());
+  loop_.want(link.client.watched, events(link.client, link.host, to_client));
+  loop_.want(link.host.watched, events(link.host, link.client, !link.host.out.empty()));
+}
+
+// One side broke: the other gets what it is owed, then a reset.
+void Relay::broke(Ticket ticket, Link& link, Side& other) {
+  if (!other.out.empty()) other.socket.send(other.out.data(), other.out.size());
+  other.socket.abort();
+  finished(ticket, link);
+}
+
+void Relay::finished(Ticket ticket, Link& link) {
+  const Cause cause = link.last == Word::bye    ? Cause::bye
+                      : link.last == Word::move ? Cause::move
+                      : link.client_first       ? Cause::client
+                      : link.host.in_ended      ? Cause::closed
+                                                : Cause::broken;
+  end_try(ticket, link, cause);
+  drop(ticket);
+}
+
+void Relay::set_linger(Ticket ticket) {
+  Link* link = links_.find(ticket);
+  if (!link || link->deadline.number != 0) return;
+  loop_.at(link->deadline, loop_.now() + kLinger, [this, ticket] {
+    Link* held = links_.find(ticket);
+    if (!held) return;
+    held->deadline = {};
+    if (loop_.now() - held->flowed < kLinger) return set_linger(ticket);
+    finished(ticket, *held);  // danger: half-closed connections that nobody ends take all descriptors
+  });
+}
+
+void Relay::answer(Ticket ticket, const std::string& line) {
+  Link* link = links_.find(ticket);
+  if (!link || link->phase != Phase::waiting) return;
+  end_try(ticket, *link, Cause::cancelled);
+  close_after(ticket, *link, line);
+}
+
+void Relay::move(Ticket ticket) {
+  Link* link = links_.find(ticket);
+  if (!link || link->phase != Phase::relaying) return;
+  if (link->within_line && !link->moves) {  // danger: MOVE amid a line is no MOVE; its end is waited for
+    link->moves = true;
+    return loop_.at(link->deadline, loop_.now() + kClosingTime, [this, ticket] { drop(ticket); });
+  }
+  link->try_out = false;
+  link->client.out.resize(link->whole);
+  close_after(ticket, *link, link->client.out_ended ? "" : "MOVE\r\n");
+}
+
+// Danger: closing at once would reset the connection when bytes lie unread, and the answer would be lost.
+void Relay::close_after(Ticket ticket, Link& link, const std::string& line) {
+  link.phase = Phase::closing;
+  drop_host(link);
+  link.early.clear();
+  link.client.out += line;
+  loop_.at(link.deadline, loop_.now() + kClosingTime, [this, ticket] { drop(ticket); });
+  flush_closing(ticket, link);
+}
+
+void Relay::flush_closing(Ticket ticket, Link& link) {
+  Side& client = link.client;
+  if (!client.out.empty()) {
+    const auto given = client.socket.send(client.out.data(), client.out.size());
+    if (!given) return drop(ticket);
+    client.out.erase(0, *given);
+  }
+  if (client.out.empty() && !client.out_ended) {
+    client.out_ended = true;
+    client.socket.finish();
+  }
+  if (client.out.empty() && client.in_ended) return drop(ticket);
+  loop_.want(client.watched, client.out.empty() ? POLLIN : POLLIN | POLLOUT);
+}
+
+void Relay::drop(Ticket ticket) {
+  Link* link = links_.find(ticket);
+  if (!link) return;
+  loop_.cancel(link->deadline);
+  loop_.unwatch(link->client.watched);
+  loop_.unwatch(link->host.watched);
+  links_.drop(ticket);
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/relay.h
@@ -0,0 +1,123 @@
+// Clients' connections, each with at most one connection to a host: sockets, bounded buffers and the bytes
+// both ways, unchanged but for `d` of the first line. Owns both sockets of a link and the link's one
+// deadline. Tells the node what happened and does what it is told; never chooses a host, a further try or an
+// answer.
+#pragma once
+#include <deque>
+
+#include "counters.h"
+#include "lines.h"
+#include "loop.h"
+#include "socket.h"
+
+namespace dapplewharf {
+
+// How far a setup try had come, and what ended it.
+enum class Reach { not_connected, partly_written, written, up };
+enum class Cause {
+  no_descriptor,
+  time_out,
+  broken,  // refused, reset
+  closed,  // an orderly end without a word
+  busy,    // the host's words
+  error,
+  nonsense,
+  bye,
+  move,
+  client,     // the client went first
+  cancelled,  // by this node
+};
+struct TryEnd {
+  Reach reach = Reach::not_connected;
+  Cause cause = Cause::broken;
+};
+
+class Relay {
+ public:
+  struct Heard {
+    std::function<void(Ticket, const Opening&)> came;
+    std::function<void(Ticket)> client_left;  // before it had its answer
+    std::function<void(Ticket)> up;
+    std::function<void(Ticket, TryEnd)> over;  // once for each try
+    std::function<void(Ticket, Tenths)> line_back;
+    std::function<void(Ticket, double)> load_told;
+  };
+  Relay(Loop& loop, Counters& counters, int descriptors, Tenths connect_time, Heard heard);
+
+  std::optional<std::string> listen(const sockaddr_in& at);
+  void try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out);
+  void cancel(Ticket ticket);
+  void answer(Ticket ticket, const std::string& line);  // the final one; nothing follows it
+  void move(Ticket ticket);
+  std::size_t open() const { return links_.size(); }
+  // How long each standing connection's oldest line has been unanswered; 0: none is.
+  template <class Visit>
+  void each_standing(Visit visit) {
+    links_.each([&](Ticket ticket, const Link& link) {
+      if (link.phase == Phase::relaying)
+        visit(ticket, link.unanswered.empty() ? 0 : loop_.now() - link.unanswered.front());
+    });
+  }
+
+ private:
+  enum class Phase { greeting, waiting, relaying, closing };
+  struct Side {
+    Socket socket;
+    Ticket watched;
+    std::string out;        // bytes that are to go there
+    bool in_ended = false;  // it sends no more
+    bool out_ended = false;
+  };
+  struct Link {
+    Phase phase = Phase::greeting;
+    Side client, host;
+    Loop::Deadline deadline;
+    std::string early;  // what the client sent: its first line, then what came before the connection stood
+    Opening opening;
+    bool try_out = false;
+    Reach reach = Reach::not_connected;
+    bool connected = false;
+    Tenths try_until = 0;
+    std::string first;              // the host's first line, as far as it has come
+    std::deque<Tenths> unanswered;  // when the client's last lines came
+    std::string head;               // the start of the host's line that is coming
+    Word last = Word::other;        // what the host's last whole line was
+    std::size_t whole = 0;          // bytes of client.out up to the end of a line
+    bool within_line = false;       // the client has the start of a line whose end has not come
+    bool moves = false;             // to be moved at the end of that line
+    bool client_first = false;
+    Tenths flowed = 0;  // when bytes last came
+  };
+
+  void accept_all();
+  void turn_away_one();
+  void client_ready(Ticket ticket);
+  void host_ready(Ticket ticket);
+  void greet(Ticket ticket, Link& link);
+  bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
+  void await_up(Ticket ticket, Link& link);
+  void end_try(Ticket ticket, Link& link, Cause cause);
+  void drop_host(Link& link);
+  void from_client(Link& link, std::size_t from);
+  void from_host(Ticket ticket, Link& link, std::size_t from);
+  void host_line(Ticket ticket, Link& link);
+  void settle(Ticket ticket, Link& link);
+  bool flush(Link& link, Side& side, const Side& other);
+  void broke(Ticket ticket, Link& link, Side& other);
+  void finished(Ticket ticket, Link& link);
+  void set_linger(Ticket ticket);
+  void close_after(Ticket ticket, Link& link, const std::string& line);
+  void flush_closing(Ticket ticket, Link& link);
+  void drop(Ticket ticket);
+  void guarded(Ticket ticket, void (Relay::*what)(Ticket));
+
+  Loop& loop_;
+  Counters& counters_;
+  int descriptors_;
+  Tenths connect_time_;
+  Heard heard_;
+  Socket listener_, spare_;
+  Slots<Link> links_;
+};
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/socket.cpp
@@ -0,0 +1,104 @@
+#include "socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+namespace dapplewharf {
+
+std::optional<sockaddr_in> address_of(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, fault] = std::from_chars(text.data() + colon + 1, end, port);
+  if (fault != std::errc() || rest != end || port == 0) return std::nullopt;
+  to.sin_port = htons(port);
+  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &to.sin_addr) != 1) return std::nullopt;
+  return to;
+}
+
+int descriptor_limit(int wanted) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return wanted;
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, static_cast<rlim_t>(wanted));
+  setrlimit(RLIMIT_NOFILE, &limit);
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, static_cast<rlim_t>(wanted)));
+}
+
+void Socket::close() {
+  if (descriptor_ >= 0) ::close(descriptor_);
+  descriptor_ = -1;
+}
+
+void Socket::abort() {
+  const linger now{1, 0};
+  if (descriptor_ >= 0) setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  close();
+}
+
+void Socket::finish() const {
+  if (descriptor_ >= 0) shutdown(descriptor_, SHUT_WR);
+}
+
+std::optional<std::size_t> Socket::receive(std::string& to, std::size_t most, bool& ended) const {
+  char bytes[16 * 1024];
+  const ssize_t got = recv(descriptor_, bytes, std::min(most, sizeof bytes), 0);
+  if (got > 0) to.append(bytes, static_cast<std::size_t>(got));
+  if (got >= 0) {
+    ended = got == 0;
+    return static_cast<std::size_t>(got);
+  }
+  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return 0;
+  return std::nullopt;
+}
+
+std::optional<std::size_t> Socket::send(const char* bytes, std::size_t size) const {
+  const ssize_t given = ::send(descriptor_, bytes, size, MSG_NOSIGNAL);
+  if (given >= 0) return static_cast<std::size_t>(given);
+  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return 0;
+  return std::nullopt;
+}
+
+bool Socket::connected() const {
+  int fault = 0;
+  socklen_t size = sizeof fault;
+  return getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &fault, &size) == 0 && fault == 0;
+}
+
+Dial dial(const sockaddr_in& to, int limit, Socket& socket) {
+  Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  // Danger: tries that take the last descriptors leave none to tell clients so. The kernel hands out the
+  // lowest free number, so a high one tells that few are left.
+  if (!made || made.number() >= limit - kKeptBack) return Dial::no_descriptor;
+  const int on = 1;
+  setsockopt(made.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  const int done = connect(made.number(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  if (done != 0 && errno != EINPROGRESS && errno != EINTR)
+    return errno == EADDRNOTAVAIL || errno == ENOBUFS ? Dial::no_descriptor : Dial::refused;
+  socket = std::move(made);
+  return Dial::begun;
+}
+
+std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket) {
+  Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  if (made) setsockopt(made.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (!made || bind(made.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+      listen(made.number(), SOMAXCONN) != 0)
+    return std::string(std::strerror(errno));
+  socket = std::move(made);
+  return std::nullopt;
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/socket.h
@@ -0,0 +1,49 @@
+// One descriptor and the few calls made on it: addresses, listening, connecting, closing in kind. Owns the
+// descriptor; never blocks, never raises SIGPIPE, never decides.
+#pragma once
+#include <netinet/in.h>
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace dapplewharf {
+
+constexpr int kKeptBack = 16;  // descriptors that no setup try or probe takes, so that clients get an answer
+
+std::optional<sockaddr_in> address_of(const std::string& text);  // a.b.c.d:port
+int descriptor_limit(int wanted);  // sets the process's limit as near to `wanted` as may be; returns it
+
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(int descriptor) : descriptor_(descriptor) {}
+  Socket(Socket&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    std::swap(descriptor_, other.descriptor_);
+    return *this;
+  }
+  ~Socket() { close(); }
+
+  int number() const { return descriptor_; }
+  explicit operator bool() const { return descriptor_ >= 0; }
+  void close();
+  void abort();         // closes with a reset
+  void finish() const;  // ends the sending only
+
+  // Bytes taken or given; 0 for none now; nothing when the connection is broken. `ended`: no more will come.
+  std::optional<std::size_t> receive(std::string& to, std::size_t most, bool& ended) const;
+  std::optional<std::size_t> send(const char* bytes, std::size_t size) const;
+  bool connected() const;  // asked once poll says that it is writable
+
+ private:
+  int descriptor_ = -1;
+};
+
+enum class Dial { begun, refused, no_descriptor };
+// A connection in the making; poll says when it stands. Leaves the last `kept_back` of `limit` descriptors.
+Dial dial(const sockaddr_in& to, int limit, Socket& socket);
+std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket);  // what went wrong, if anything
+
+}  // namespace dapplewharf
