--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,25 +13,42 @@
 constexpr Tenths kLookEvery = 100 * kMs;    // at how long lines have been unanswered
 constexpr Tenths kMeterSpan = 2 * kSecond;  // as often as clients send a line
 constexpr Tenths kTellEvery = kSecond;
-constexpr Tenths kStillComing = kSecond;  // clients go on coming that long after SIGTERM
-constexpr Tenths kProbeSlack = 50 * kMs;  // over the time to connect, for a probe's answer
+constexpr Tenths kProbeHolds = 5 * kSecond;  // what a probe showed, when none follows
+constexpr std::size_t kProbesKept = 20;      // some half minute: the least of them is the way there and back
+constexpr Tenths kStillComing = kSecond;     // clients go on coming that long after SIGTERM
+constexpr Tenths kProbeSlack = 50 * kMs;     // over the time to connect, for a probe's answer
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
 
 }  // namespace
 
-std::optional<Tenths> Meter::tell(Tenths now, Tenths limit, std::vector<Tenths> unanswered) {
-  while (!seen_.empty() && now - seen_.front().first >= kMeterSpan) seen_.pop_front();
-  std::erase_if(unanswered, [&](Tenths age) { return age <= limit; });  // too young to say anything
-  for (const auto& [when, delay] : seen_) unanswered.push_back(delay);
-  if (unanswered.empty()) return std::nullopt;
-  const auto middle = unanswered.begin() + static_cast<std::ptrdiff_t>(unanswered.size() / 2);
-  std::nth_element(unanswered.begin(), middle, unanswered.end());
-  const bool over = *middle > limit;
-  if (over ? now - told_at_ < kTellEvery && over_ : !over_) return std::nullopt;
+void Meter::probed(Tenths now, Tenths took) {
+  probed_at_ = now;
+  probes_.push_back(took);
+  if (probes_.size() > kProbesKept) probes_.pop_front();
+}
+
+// Danger: a host that is slow still echoes lines at once; only what waits in its queue shows it.
+std::optional<Tenths> Meter::tell(Tenths now, Tenths limit, const std::vector<Tenths>& unanswered) {
+  while (!lines_.empty() && now - lines_.front().first >= kMeterSpan) lines_.pop_front();
+  std::vector<Tenths> delays;
+  for (const Tenths age : unanswered)
+    if (age > limit) delays.push_back(age);  // younger ones say nothing yet
+  for (const auto& [when, delay] : lines_) delays.push_back(delay);
+  std::optional<Tenths> delay;
+  if (!delays.empty()) {
+    const auto middle = delays.begin() + static_cast<std::ptrdiff_t>(delays.size() / 2);
+    std::nth_element(delays.begin(), middle, delays.end());
+    delay = *middle;
+  }
+  if (!probes_.empty() && now - probed_at_ < kProbeHolds)
+    delay = std::max(delay.value_or(0), probes_.back() - *std::min_element(probes_.begin(), probes_.end()));
+  if (!delay) return std::nullopt;
+  const bool over = *delay > limit;
+  if (over ? over_ && now - told_at_ < kTellEvery : !over_) return std::nullopt;
   over_ = over;
   told_at_ = now;
-  return *middle;
+  return delay;
 }
 
 Outcome outcome_of(TryEnd end) {
@@ -83,10 +100,11 @@
                   }}),
       probes_(loop, counters_, configuration_.descriptors,
               static_cast<Tenths>(number(settings_, "connect_time", kSecond)) + kProbeSlack,
-              [this](const std::string& host, TryEnd end, Tenths took) {
+              [this](const std::string& host, const Probes::Probed& probed) {
                 Event& event = tell(EventKind::probe_ended, "", host);
-                event.outcome = outcome_of(end);
-                event.took = took;
+                event.outcome = outcome_of(probed.end);
+                event.took = probed.took;
+                if (probed.answer_after > 0) meters_[host].probed(loop_.now(), probed.answer_after);
               }) {}
 
 std::optional<std::string> Node::start() {
@@ -202,7 +220,7 @@
     ages.push_back(unanswered);
   });
   for (auto& [host, seen] : hosts)
-    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_ / 3, std::move(seen.second)))
+    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_ / 3, seen.second))
       tell(EventKind::delay_told, seen.first, host).figure = static_cast<double>(*delay);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -20,17 +20,20 @@
   nlohmann::json known, env;  // the list as last had; the settings
 };
 
-// How long a host takes for a message, from the lines of all connections to it.
+// How long a message takes at a host. Lines are measured on all connections to it; a probe waits there like
+// any work, and what it takes over the least that one took is time that the host made it wait.
 class Meter {
  public:
-  void line_back(Tenths now, Tenths delay) { seen_.emplace_back(now, delay); }
+  void line_back(Tenths now, Tenths delay) { lines_.emplace_back(now, delay); }
+  void probed(Tenths now, Tenths took);
   // What is to be told now, if anything: once a second while it is over `limit`, and once more when it is
   // under.
-  std::optional<Tenths> tell(Tenths now, Tenths limit, std::vector<Tenths> unanswered);
+  std::optional<Tenths> tell(Tenths now, Tenths limit, const std::vector<Tenths>& unanswered);
 
  private:
-  std::deque<std::pair<Tenths, Tenths>> seen_;
-  Tenths told_at_ = 0;
+  std::deque<std::pair<Tenths, Tenths>> lines_;
+  std::deque<Tenths> probes_;
+  Tenths probed_at_ = 0, told_at_ = 0;
   bool over_ = false;
 };
 
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -61,7 +61,7 @@
     const auto given = line.socket.send(kPing.data() + line.sent, kPing.size() - line.sent);
     if (given) line.sent += *given;
     else got = std::nullopt;
-    if (line.sent == kPing.size()) line.reach = Reach::written;
+    if (line.sent == kPing.size()) line.reach = Reach::written, line.written = loop_.now();
   }
   if (!got || ended) {
     if (line.out && line.stale && line.in.empty()) {  // a kept connection had ended meanwhile
@@ -87,7 +87,8 @@
 }
 
 void Probes::over(const std::string& host, Line& line, Cause cause, bool keep) {
-  const TryEnd end{line.reach, cause};
+  Probed probed{{line.reach, cause}, loop_.now() - line.since, 0};
+  if (cause == Cause::bye || cause == Cause::error) probed.answer_after = loop_.now() - line.written;
   const bool told = std::exchange(line.out, false);
   loop_.cancel(line.deadline);
   if (!keep) {
@@ -95,7 +96,7 @@
     line.socket.close();
     line.reach = Reach::not_connected;
   }
-  if (told) told_(host, end, loop_.now() - line.since);
+  if (told) told_(host, probed);
 }
 
 }  // namespace dapplewharf
--- a/src/node/probes.h
+++ b/src/node/probes.h
@@ -10,7 +10,12 @@
 
 class Probes {
  public:
-  using Told = std::function<void(const std::string& host, TryEnd end, Tenths took)>;  // bye: answered well
+  struct Probed {
+    TryEnd end;               // bye: answered well
+    Tenths took = 0;          // in all
+    Tenths answer_after = 0;  // from when its last byte was written; 0 where no answer came
+  };
+  using Told = std::function<void(const std::string& host, const Probed& probed)>;
   Probes(Loop& loop, Counters& counters, int descriptors, Tenths patience, Told told);
 
   void probe(const std::string& host, const std::string& address);
@@ -24,7 +29,7 @@
     Loop::Deadline deadline;
     Reach reach = Reach::not_connected;
     bool out = false, stale = false;
-    Tenths since = 0;
+    Tenths since = 0, written = 0;
     std::string in;
     std::size_t sent = 0;
   };
