SIGTERM and unanswered lines reach the module as facts; stories of the node on loopback

Node: ends by itself before SIGKILL; a handed-over connection that can't be had is answered; probes and discovery may use descriptors that tries may not.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,12 +34,11 @@
 constexpr Tenths kProbeShared = kSecond;              // and of all nodes together for one host
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 65 * kMs;             // and of all nodes together that may be in doubt
-constexpr int kPoints = 30;    // virtual points for a size of 1: shares true to a few percent
-constexpr int kLooks = 3;      // hosts looked at and passed before one is taken unseen
-constexpr double kFull = 0.6;  // of capacity: messages begin to wait there
-constexpr double kScatter =
-    12;                     // hosts that all nodes together ask for one group while the crowd limit is on
-constexpr int kEnough = 8;  // good hosts on a route: more are hardly ever asked
+constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
+constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
+constexpr double kFull = 0.6;       // of capacity: messages begin to wait there
+constexpr double kScatter = 12;     // hosts that all nodes ask for one group while the crowd limit is on
+constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
@@ -55,7 +54,9 @@
 constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare = 0.15;  // of its connections: a few steps clear it, one overshoots little
-constexpr Tenths kStrainHeld = 1500 * kMs;  // slow-message notes come each second: one lost is no relief
+constexpr Tenths kLineSilent = 3 * kSecond;  // a line unanswered for so long: nobody is there for its client
+constexpr Tenths kFrontStops = 500 * kMs;    // a front still deals to a node that stops, for about this long
+constexpr Tenths kStrainHeld = 1500 * kMs;   // slow-message notes come each second: one lost is no relief
 
 // One of the two signals of a host: its last results, and whether a run has turned it.
 struct Signal {
@@ -68,11 +69,9 @@
     run = !results.empty() && results.back() == result ? run + 1 : 1;
     results.push_back(result);
     if (results.size() > kGoodRun) results.pop_front();
-    if (good != result && run >= (result ? kGoodRun : kBadRun)) {
-      good = result;
-      return true;
-    }
-    return false;
+    if (good == result || run < (result ? kGoodRun : kBadRun)) return false;
+    good = result;
+    return true;
   }
   // Danger: at a quiet node one bad set-up is all there is; what has not been seen counts as good.
   double share() const {
@@ -113,8 +112,7 @@
     if (listing.state != HostState::healthy) return leaves(listing.state);
     state_ = HostState::healthy;
     if (fresh || restarted || (!known_ && cold())) {  // danger: a cold host at full weight falls over
-      step_ = 0;
-      step_since_ = around_.now;
+      step_ = 0, step_since_ = around_.now;
       probes_ = setups_ = Signal();
       inherited_ = known_ ? 100 : fleet_.score;
       around_.log("host " + id_ + " starts cold, age ms " + std::to_string((around_.now - started_) / kMs));
@@ -205,8 +203,7 @@
   }
 
   void looked(const Event& event) {
-    probe_out_ = false;
-    probed_at_ = around_.now;
+    probe_out_ = false, probed_at_ = around_.now;
     const double at = number(around_.settings, "report.load", -1);
     const bool told = at >= 0 && at < static_cast<double>(event.report.size());
     load_ = told ? event.report[static_cast<std::size_t>(at)] : 0;
@@ -290,8 +287,7 @@
                   ", share good " + figure(signal.share()) + ", score " + figure(score()));
       if (!good) falls();
     } else if (!good && step_ < kTop && signal.good) {
-      step_ = 0;  // each step is gated on the score holding
-      step_since_ = around_.now;
+      step_ = 0, step_since_ = around_.now;  // each step is gated on the score holding
     }
   }
 
@@ -321,9 +317,7 @@
 
   void climb() {
     if (around_.now < next_climb()) return;
-    ++step_;
-    step_since_ = around_.now;
-    inherited_ = 100;
+    ++step_, step_since_ = around_.now, inherited_ = 100;
     around_.log("host " + id_ + " climbs to " + figure(kRamp[step_]) + ", score " + figure(score()));
   }
 
@@ -402,18 +396,15 @@
   bool asked_for() const { return text(around_.settings, "discovery") == "on_request"; }
 
   void list(const Event& event) {
+    if (event.kind == EventKind::stopping) return void(stopped_at_ = around_.now);
     if (event.kind == EventKind::list_lost) {
-      ++losses_;
-      subscribed_ = false;
+      ++losses_, subscribed_ = false;
       if (lost_at_ == 0) lost_at_ = around_.now;
       const double wait = std::min(500.0 * (1 << std::min(losses_, 4)), 4000.0) * kMs;
       ask_at_ = around_.now + static_cast<Tenths>((wait + spread()) * (0.5 + around_.chance.share() / 2));
       return;
     }
-    if (event.kind != EventKind::list_copy) {
-      losses_ = 0;
-      lost_at_ = 0;
-    }
+    if (event.kind != EventKind::list_copy) losses_ = 0, lost_at_ = 0;
     std::set<std::string> named;
     const Fleet fleet = figures();
     for (const Listing& listing : event.listings) {
@@ -462,7 +453,7 @@
 
   void set_alarm() {  // one stands for whatever is due first
     Tenths due = due_.empty() ? kNever : due_.begin()->first;
-    if (to_check_) due = around_.now;  // whether the weights freeze
+    if (to_check_ || stopped_at_ > 0) due = around_.now;  // whether the weights freeze; what is to be moved
     if (started_ && !subscribed_ && asked_for()) due = std::min(due, ask_at_);
     if (!frozen_) due = std::min(due, silent_from());
     due = std::max({due, pulsed_at_ + kPulse, around_.now + 1});
@@ -474,6 +465,12 @@
   void pulse() {
     pulsed_at_ = around_.now, to_check_ = false;
     ask();
+    // Danger: moved at once, clients come back to this node while the front still deals to it, and in step.
+    if (stopped_at_ > 0 && around_.now - stopped_at_ >= kFrontStops) {
+      Note& all = around_.write(Part::desk, Topic::evict);
+      all.part = static_cast<double>(around_.now - stopped_at_ - kFrontStops) / kSecond;
+      all.fleet.spare = INT32_MAX;
+    }
     const Fleet fleet = figures();
     for (auto at = due_.begin(); at != due_.end() && at->first <= around_.now; ++at)
       around_.write(Part::host, Topic::pulse, at->second).fleet = fleet;
@@ -527,7 +524,7 @@
   std::deque<Tenths> sought_;  // when a host was sought lately
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
-  Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0;
+  Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0, stopped_at_ = 0;
 };
 
 // The consistent hash ring: says in which order hosts are asked to take an attachment.
@@ -653,6 +650,9 @@
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
       case EventKind::delay_told: tell_host(event, event.host); break;
+      case EventKind::unanswered:  // danger: it hangs though its host serves others, or while frozen
+        if (held.standing && !held.answered && event.figure >= kLineSilent) move(held);
+        break;
       default: break;
     }
   }
@@ -704,17 +704,22 @@
   void evict(const std::string& host, double part, int spare) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     for (auto& [id, held] : held_) {
-      if (!held.standing || held.answered || held.tries.back().host != host) continue;
+      if (!held.standing || held.answered) continue;
+      if (!host.empty() && held.tries.back().host != host) continue;
       const auto group = hash(held.event.group ? static_cast<std::uint64_t>(*held.event.group) : hash(id));
       if (static_cast<double>(hash(group ^ hash(host)) >> 32) >= part * 4294967296.0) continue;
       // Danger: moved work chases itself from host to host when few have room.
       if (static_cast<int>(moved_.size()) >= spare) return;
-      held.answered = true;  // the client comes again as a new attachment
-      around_.act(ActionKind::move, id, host);
-      moved_.push_back(around_.now);
+      move(held);
     }
   }
 
+  void move(Attachment& held) {
+    held.answered = true;  // the client comes again as a new attachment
+    around_.act(ActionKind::move, held.event.id, held.tries.back().host);
+    moved_.push_back(around_.now);
+  }
+
   // The one place that decides whether an attachment may have another setup try.
   bool may_be_tried_again(const Attachment& held) const {
     if (held.answered || held.standing || around_.now >= held.event.expiry) return false;
@@ -831,7 +836,7 @@
   }
 
   void deliver(const Event& event) {
-    if (event.kind <= EventKind::list_lost) around.write(Part::roster, Topic::event).event = event;
+    if (event.kind <= EventKind::stopping) around.write(Part::roster, Topic::event).event = event;
     else if (event.kind == EventKind::probe_ended)
       around.write(Part::host, Topic::event, event.host).event = event;
     else if (event.kind == EventKind::alarm) around.write(Part::roster, Topic::pulse);
@@ -842,11 +847,7 @@
   template <class Actor>
   bool empty(Actor& actor) {
     const bool any = !actor.inbox.empty();
-    while (!actor.inbox.empty()) {
-      const Note note = std::move(actor.inbox.front());
-      actor.inbox.pop_front();
-      actor.read(note);
-    }
+    for (; !actor.inbox.empty(); actor.inbox.pop_front()) actor.read(actor.inbox.front());
     return any;
   }
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -102,7 +102,7 @@
   connected_ = false;
   sent_ = 0;
   in_.clear();
-  if (!at || dial(*at, descriptors_, socket_) != Dial::begun) {
+  if (!at || dial(*at, descriptors_, kLastOnes, socket_) != Dial::begun) {
     // Told in a turn of its own: the caller may be amid its own work.
     return loop_.at(deadline_, loop_.now(), [this] { broken(false); });
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,7 +16,13 @@
 constexpr Tenths kProbeHolds = 5 * kSecond;  // what a probe showed, when none follows
 constexpr std::size_t kProbesKept = 20;      // some half minute: the least of them is the way there and back
 constexpr Tenths kStillComing = kSecond;     // clients go on coming that long after SIGTERM
-constexpr Tenths kProbeSlack = 50 * kMs;     // over the time to connect, for a probe's answer
+constexpr Tenths kLongestWait =
+    3 * kSecond;  // SIGKILL comes after the longest expiry, or after this, and 0.7 s
+constexpr Tenths kBeforeKill = 600 * kMs;
+constexpr double kOwnPart = 1.0 / 6;  // of a goal: what a message takes where nothing else is done
+constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
+constexpr Tenths kHandOverTime = 10 * kSecond;
+constexpr Tenths kProbeSlack = 50 * kMs;  // over the time to connect, for a probe's answer
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
 
@@ -29,7 +35,8 @@
 }
 
 // Danger: a host that is slow still echoes lines at once; only what waits in its queue shows it.
-std::optional<Tenths> Meter::tell(Tenths now, Tenths limit, const std::vector<Tenths>& unanswered) {
+std::optional<Tenths> Meter::tell(Tenths now, Tenths goal, const std::vector<Tenths>& unanswered) {
+  const Tenths limit = goal / 3;
   while (!lines_.empty() && now - lines_.front().first >= kMeterSpan) lines_.pop_front();
   std::vector<Tenths> delays;
   for (const Tenths age : unanswered)
@@ -41,8 +48,14 @@
     std::nth_element(delays.begin(), middle, delays.end());
     delay = *middle;
   }
-  if (!probes_.empty() && now - probed_at_ < kProbeHolds)
-    delay = std::max(delay.value_or(0), probes_.back() - *std::min_element(probes_.begin(), probes_.end()));
+  if (!probes_.empty() && now - probed_at_ < kProbeHolds) {
+    const Tenths least = std::max<Tenths>(*std::min_element(probes_.begin(), probes_.end()), 1);
+    const Tenths over = probes_.back() - least;
+    // A message's own part of its goal grows as the probe has; the rest of the probe's time it waits as well.
+    const auto stretched = static_cast<Tenths>(kOwnPart * static_cast<double>(goal * probes_.back()) /
+                                               static_cast<double>(least));
+    delay = std::max(delay.value_or(0), over > kNoise ? std::max(over, stretched) : over);
+  }
   if (!delay) return std::nullopt;
   const bool over = *delay > limit;
   if (over ? over_ && now - told_at_ < kTellEvery : !over_) return std::nullopt;
@@ -155,6 +168,7 @@
   if (!opening.at.empty()) {
     ++counters_.handed_over;
     event.host = made.host = opening.at;
+    made.handed_over = true;
     made.tries = 1;
     made.sent = loop_.now();
     made.out = true;
@@ -162,7 +176,8 @@
   held_[event.id] = made;
   if (opening.at.empty()) return;
   const auto address = addresses_.find(opening.at);
-  relay_.try_at(ticket, address_of(address == addresses_.end() ? "" : address->second), opening.wait);
+  const std::string to = address == addresses_.end() ? "" : address->second;
+  relay_.try_at(ticket, address_of(to), opening.wait, kHandOverTime);  // all of them at once: no hurry
 }
 
 void Node::left(Ticket ticket) {
@@ -189,7 +204,7 @@
   event.number = found->tries - 1;
   event.outcome = outcome_of(end);
   event.took = loop_.now() - found->sent;
-  event.final = found->up || found->over;
+  event.final = found->up || found->over || found->handed_over;
   switch (event.outcome) {
     case Outcome::honoured: ++counters_.ended; break;
     case Outcome::error: ++counters_.errors; break;
@@ -201,7 +216,10 @@
     case Outcome::not_sent: ++counters_.not_sent; break;
   }
   found->out = false;
+  const bool unheard = found->handed_over && !found->up && !found->over;
   if (event.final) held_.erase(id_of(ticket));
+  // A connection that stood at a host and can't be had there any more has ended; its client is told so.
+  if (unheard) ++counters_.scrapped, relay_.answer(ticket, "ERR\r\n");
 }
 
 void Node::listed(const List& list, EventKind kind) {
@@ -210,7 +228,9 @@
 }
 
 void Node::look() {
-  loop_.at(look_, loop_.now() + kLookEvery, [this] { look(); });
+  const Tenths since = loop_.now() - looked_at_;
+  looked_at_ = loop_.now();
+  loop_.at(look_, looked_at_ + kLookEvery, [this] { look(); });
   std::map<std::string, std::pair<std::string, std::vector<Tenths>>> hosts;  // a connection there; the ages
   relay_.each_standing([&](Ticket ticket, Tenths unanswered) {
     const Held* found = held(ticket);
@@ -218,9 +238,11 @@
     auto& [id, ages] = hosts[found->host];
     id = id_of(ticket);
     ages.push_back(unanswered);
+    if (unanswered / kTellEvery > std::max<Tenths>(unanswered - since, 0) / kTellEvery)
+      tell(EventKind::unanswered, id, found->host).figure = static_cast<double>(unanswered);
   });
   for (auto& [host, seen] : hosts)
-    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_ / 3, seen.second))
+    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_, seen.second))
       tell(EventKind::delay_told, seen.first, host).figure = static_cast<double>(*delay);
 }
 
@@ -263,6 +285,7 @@
       if (found == held_.end()) return;
       ++counters_.moved;
       const Ticket ticket = found->second.ticket;
+      found->second.over = true;
       ended(ticket, {Reach::up, Cause::cancelled});
       return relay_.move(ticket);
     }
@@ -282,10 +305,18 @@
   if (stopping_) return;
   stopping_ = true;
   stopped_at_ = loop_.now();
+  tell(EventKind::stopping);
   spdlog::info("stopping, connections open {}", relay_.open());
 }
 
-bool Node::done() const { return stopping_ && held_.empty() && loop_.now() - stopped_at_ >= kStillComing; }
+// Danger: what is still held when the process is killed is lost; it ends by itself before that.
+bool Node::done() {
+  if (!stopping_) return false;
+  const Tenths since = loop_.now() - stopped_at_;
+  const auto expiry = static_cast<Tenths>(extreme(settings_, "traffic.", ".expiry", 1, 0));
+  if (since >= std::min(expiry, kLongestWait) + kBeforeKill) return true;
+  return since >= kStillComing && held_.empty() && relay_.busy() == 0;
+}
 
 void Node::report() const { spdlog::info("{}", counters_.told()); }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -46,7 +46,7 @@
   std::optional<std::string> start();  // what went wrong, if anything
   void settle();                       // lets the module see what happened in this turn
   void stop();                         // SIGTERM
-  bool done() const;                   // may end
+  bool done();                         // may end
   void report() const;                 // the counters, to the log
 
  private:
@@ -56,6 +56,7 @@
     int tries = 0;
     Tenths sent = 0;
     bool out = false, up = false, over = false;  // over: answered, moved or left
+    bool handed_over = false;                    // it stood at its host before this node started
   };
   void came(Ticket ticket, const Opening& opening);
   void left(Ticket ticket);
@@ -74,7 +75,7 @@
   Configuration configuration_;
   Settings settings_;
   bool groups_ = false, stopping_ = false;
-  Tenths stopped_at_ = 0, shortest_goal_ = 0;
+  Tenths stopped_at_ = 0, shortest_goal_ = 0, looked_at_ = 0;
   int losses_ = 0;
   Choice choice_;
   Relay relay_;
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -159,7 +159,8 @@
   }
 }
 
-void Relay::try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out) {
+void Relay::try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
+                   Tenths connect_time) {
   Link* link = links_.find(ticket);
   if (!link || link->phase != Phase::waiting || link->try_out) return;
   ++counters_.tries;
@@ -168,12 +169,13 @@
   link->connected = false;
   link->first.clear();
   link->try_until = loop_.now() + time_out;
-  const Dial dialled = address ? dial(*address, descriptors_, link->host.socket) : Dial::refused;
+  const Dial dialled = address ? dial(*address, descriptors_, kKeptBack, link->host.socket) : Dial::refused;
   if (dialled != Dial::begun)
     return end_try(ticket, *link, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor);
   link->host.watched = loop_.watch(link->host.socket.number(), POLLOUT,
                                    [this, ticket](short) { guarded(ticket, &Relay::host_ready); });
-  const Tenths connect_until = std::min(link->try_until, loop_.now() + connect_time_);
+  const Tenths connect_until =
+      std::min(link->try_until, loop_.now() + (connect_time > 0 ? connect_time : connect_time_));
   loop_.at(link->deadline, connect_until, [this, ticket] {
     if (Link* late = links_.find(ticket)) end_try(ticket, *late, Cause::time_out);
   });
@@ -381,8 +383,18 @@
   close_after(ticket, *link, line);
 }
 
+std::size_t Relay::busy() {
+  std::size_t count = 0;
+  links_.each([&](Ticket, const Link& link) { count += link.phase != Phase::greeting ? 1 : 0; });
+  return count;
+}
+
 void Relay::move(Ticket ticket) {
   Link* link = links_.find(ticket);
+  if (link && link->phase == Phase::waiting) {  // it stood before this node started and is not up again yet
+    link->try_out = false;
+    return close_after(ticket, *link, "MOVE\r\n");
+  }
   if (!link || link->phase != Phase::relaying) return;
   if (link->within_line && !link->moves) {  // danger: MOVE amid a line is no MOVE; its end is waited for
     link->moves = true;
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -45,11 +45,13 @@
   Relay(Loop& loop, Counters& counters, int descriptors, Tenths connect_time, Heard heard);
 
   std::optional<std::string> listen(const sockaddr_in& at);
-  void try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out);
+  void try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
+              Tenths connect_time = 0);
   void cancel(Ticket ticket);
   void answer(Ticket ticket, const std::string& line);  // the final one; nothing follows it
   void move(Ticket ticket);
   std::size_t open() const { return links_.size(); }
+  std::size_t busy();  // those of clients that have said what they want
   // How long each standing connection's oldest line has been unanswered; 0: none is.
   template <class Visit>
   void each_standing(Visit visit) {
--- a/src/node/socket.cpp
+++ b/src/node/socket.cpp
@@ -76,11 +76,11 @@
   return getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &fault, &size) == 0 && fault == 0;
 }
 
-Dial dial(const sockaddr_in& to, int limit, Socket& socket) {
+Dial dial(const sockaddr_in& to, int limit, int kept_back, Socket& socket) {
   Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   // Danger: tries that take the last descriptors leave none to tell clients so. The kernel hands out the
   // lowest free number, so a high one tells that few are left.
-  if (!made || made.number() >= limit - kKeptBack) return Dial::no_descriptor;
+  if (!made || made.number() >= limit - kept_back) return Dial::no_descriptor;
   const int on = 1;
   setsockopt(made.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   const int done = connect(made.number(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
--- a/src/node/socket.h
+++ b/src/node/socket.h
@@ -10,7 +10,8 @@
 
 namespace dapplewharf {
 
-constexpr int kKeptBack = 16;  // descriptors that no setup try or probe takes, so that clients get an answer
+constexpr int kKeptBack = 16;  // descriptors that no setup try takes, so that clients get an answer
+constexpr int kLastOnes = 2;   // and that neither probes nor discovery take, lest all hosts look bad
 
 std::optional<sockaddr_in> address_of(const std::string& text);  // a.b.c.d:port
 int descriptor_limit(int wanted);  // sets the process's limit as near to `wanted` as may be; returns it
@@ -43,7 +44,7 @@
 
 enum class Dial { begun, refused, no_descriptor };
 // A connection in the making; poll says when it stands. Leaves the last `kept_back` of `limit` descriptors.
-Dial dial(const sockaddr_in& to, int limit, Socket& socket);
+Dial dial(const sockaddr_in& to, int limit, int kept_back, Socket& socket);
 std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket);  // what went wrong, if anything
 
 }  // namespace dapplewharf
--- a/src/words.h
+++ b/src/words.h
@@ -33,11 +33,13 @@
   list_whole,    // the complete list
   list_changes,  // the entries that changed
   list_lost,     // an inquiry failed or the subscription broke
+  stopping,      // this node is to end soon; what it holds has to go elsewhere
   attachment,    // a client wants a connection
   handed_over,   // a connection that was open when the node started
   established,   // a setup try stands
   load_told,     // a connection's load has changed
   delay_told,    // messages at a host take this long
+  unanswered,    // a client's line on a standing connection has been unanswered for this long
   try_ended,     // a setup try, or the connection it became, has ended
   client_left,   // the client went away
   alarm,
@@ -57,7 +59,7 @@
   Outcome outcome = Outcome::honoured;
   Tenths took = 0;
   bool final = false;
-  double figure = 0;  // the load in microseconds of work a second, or the delay in tenths
+  double figure = 0;  // the load in microseconds of work a second, or the delay or wait in tenths
   std::vector<Listing> listings;
   std::vector<double> report;
 };
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -1,9 +1,15 @@
-// One tiny fake fleet of hosts for the stories: it feeds a Choice and remembers what it asked for.
+// What the stories share: a tiny fake fleet that feeds a Choice and remembers what it asked for, and a node
+// on loopback sockets.
 #pragma once
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <deque>
 #include <set>
 
 #include "choice.h"
+#include "node/node.h"
 
 namespace dapplewharf {
 
@@ -149,4 +155,131 @@
   }
 };
 
+// A node on loopback sockets, with four hosts behind one listener and a discovery that says what it is told
+// to. All in one thread: whoever waits lets the node's loop turn meanwhile.
+struct Net {
+  Loop loop;
+  std::unique_ptr<Node> node;
+  Socket hosts, discovery, call;
+  std::vector<Socket> made;
+  std::deque<std::string> answers;
+  std::string asked;
+  sockaddr_in front{};
+
+  static std::string text_of(const sockaddr_in& at) {
+    return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+  }
+  static sockaddr_in listening(Socket& socket) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_FALSE(listen_at(at, socket));
+    socklen_t size = sizeof at;
+    getsockname(socket.number(), reinterpret_cast<sockaddr*>(&at), &size);
+    return at;
+  }
+  static std::string http(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  Net() {
+    const std::string at = text_of(listening(hosts));
+    nlohmann::json list = nlohmann::json::array();
+    for (const char* id : {"h0", "h1", "h2", "h3"})
+      list.push_back({{"instanceId", id}, {"hostPort", at}, {"zone", "near"}, {"lifecycle", "up"}});
+    Configuration to;
+    to.discovery = text_of(listening(discovery));
+    {
+      Socket free;
+      front = listening(free);
+    }
+    to.listen = text_of(front);
+    to.known = {{"generation", 1}, {"reset", true}, {"instances", list}};
+    to.env = nlohmann::json::parse(R"({"peersTotal": 1, "zone": "near", "discovery": "on_request",
+      "guarantees": {"coldFrom": 0.3, "coldMs": 8000, "fallMs": 2000, "fallMultiple": 2.5, "stopSendingWithinMs": 1000},
+      "bounds": {"maxAttempts": 4, "maxRetryAfterMs": 1500, "retryAfter": true, "probes": false, "dialTimeoutMs": 250},
+      "extra": {"messageAimMs": [50]}, "lanes": [{"name": "plain", "semantics": "idempotent", "group": "all",
+      "windowMs": 5000, "objectiveMs": 800, "hardLimitMs": 2000}]})");
+    node = std::make_unique<Node>(loop, to);
+    EXPECT_FALSE(node->start());
+  }
+
+  void turn() {
+    loop.turn(50);
+    node->settle();
+    if (!call) call = Socket(accept4(discovery.number(), nullptr, nullptr, SOCK_NONBLOCK));
+    bool ended = false;
+    if (!call || !call.receive(asked, 4096, ended) || ended) call.close(), asked.clear();
+    if (!call || answers.empty() || asked.find("\r\n\r\n") == std::string::npos) return;
+    call.send(answers.front().data(), answers.front().size());
+    answers.pop_front();
+    asked.clear();
+  }
+  bool until(const std::function<bool()>& seen, int ms = 1000) {
+    for (const Tenths end = loop.now() + ms * 10; loop.now() < end;) {
+      if (seen()) return true;
+      turn();
+    }
+    return seen();
+  }
+  void run(int ms) {
+    until([] { return false; }, ms);
+  }
+
+  int keep(Socket socket) {
+    made.push_back(std::move(socket));
+    return made.back().number();
+  }
+  Socket& socket(int number) {
+    return *std::find_if(made.begin(), made.end(), [&](const Socket& one) { return one.number() == number; });
+  }
+  int client(const std::string& bytes) {
+    Socket socket;
+    EXPECT_EQ(dial(front, 1024, 0, socket), Dial::begun);
+    const int number = keep(std::move(socket));
+    run(10);
+    write(number, bytes);
+    return number;
+  }
+  int host_accepts() {
+    Socket taken;
+    until([&] {
+      if (!taken) taken = Socket(accept4(hosts.number(), nullptr, nullptr, SOCK_NONBLOCK));
+      return static_cast<bool>(taken);
+    });
+    EXPECT_TRUE(taken);
+    return keep(std::move(taken));
+  }
+  void write(int number, const std::string& bytes) {
+    std::size_t sent = 0;
+    until([&] {
+      sent += socket(number).send(bytes.data() + sent, bytes.size() - sent).value_or(0);
+      return sent == bytes.size();
+    });
+    EXPECT_EQ(sent, bytes.size());
+  }
+  // What comes within a moment of the first `least` bytes.
+  std::string read(int number, std::size_t least = 1, int ms = 1000) {
+    std::string bytes;
+    bool ended = false;
+    const auto take = [&] { return socket(number).receive(bytes, 65536, ended), bytes.size() >= least; };
+    until(take, ms);
+    run(20);
+    take();
+    return bytes;
+  }
+  bool ended(int number) {
+    std::string ignored;
+    bool end = false;
+    return until([&] { return !socket(number).receive(ignored, 65536, end) || end; });
+  }
+  bool was_reset(int number) {
+    std::string ignored;
+    bool end = false;
+    return until([&] { return !socket(number).receive(ignored, 65536, end); }) && !end;
+  }
+  void finish(int number) { socket(number).finish(); }
+  void reset(int number) { socket(number).abort(); }
+};
+
 }  // namespace dapplewharf
--- /dev/null
+++ b/tests/node.cpp
@@ -0,0 +1,215 @@
+// Short stories of the node: parsing, errors as values, and whole days of one client on loopback sockets.
+#include <gtest/gtest.h>
+
+#include "helper.h"
+#include "node/http.h"
+#include "node/lines.h"
+
+using namespace dapplewharf;
+
+TEST(Lines, AFirstLineGivesWhatDecisionsNeedAndOnlyDChanges) {
+  const std::string line =
+      "OPEN 9b1f03aa5c7e2d41 00000000000000ff c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59,again=1,h=3.5\r\n";
+  const Opened opened = opening_of(line);
+  ASSERT_TRUE(opened.opening) << opened.fault;
+  EXPECT_EQ(opened.opening->traffic_type, "chat");
+  EXPECT_EQ(opened.opening->key, 255);
+  EXPECT_EQ(opened.opening->wait, 20000);
+  EXPECT_TRUE(opened.opening->returned);
+  std::string changed = line;
+  EXPECT_EQ(with_wait(*opened.opening, 1234), changed.replace(line.find("2000"), 4, "123"));
+}
+
+TEST(Lines, AMalformedFirstLineIsNamed) {
+  for (const char* bad :
+       {"", "\r\n", "HELLO\n", "OPEN\n", "OPEN a\n", "OPEN a b\n", "OPEN a b c=x\n", "OPEN a b d=1\n",
+        "OPEN a b c=x,d=soon\n", "OPEN a b c=x,d=-1\n", "OPEN a b c=x,d=1e99\n", "OPEN a b ,,,==\n"})
+    EXPECT_FALSE(opening_of(bad).fault.empty()) << bad;
+}
+
+TEST(Http, AnAnswerMayComeByteByByteWholeChunkedOrCutOff) {
+  const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: "
+      "close\r\n\r\n2\r\nab\r\n2;x\r\ncd\r\n0\r\n\r\n";
+  for (const std::string& whole : {sized, chunked}) {
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+      EXPECT_EQ(answer_of(whole.substr(0, n), false).state, Answer::State::more) << n;
+      EXPECT_EQ(answer_of(whole.substr(0, n), true).state, Answer::State::bad) << n;
+    }
+    EXPECT_EQ(answer_of(whole, false).body, "abcd");
+  }
+  EXPECT_TRUE(answer_of(chunked, false).closes);
+  for (const char* bad : {"no http\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
+    EXPECT_EQ(answer_of(bad, false).state, Answer::State::bad) << bad;
+}
+
+TEST(Errors, WhatProvesThatATryNeverRan) {
+  for (const Reach reach : {Reach::not_connected, Reach::partly_written})
+    for (const Cause cause : {Cause::broken, Cause::closed, Cause::time_out})
+      EXPECT_EQ(outcome_of({reach, cause}), Outcome::no_connection);
+  EXPECT_EQ(outcome_of({Reach::written, Cause::broken}), Outcome::lost);
+  EXPECT_EQ(outcome_of({Reach::written, Cause::time_out}), Outcome::no_answer);
+  EXPECT_EQ(outcome_of({Reach::written, Cause::busy}), Outcome::turned_away);
+  EXPECT_EQ(outcome_of({Reach::not_connected, Cause::no_descriptor}), Outcome::not_sent);
+}
+
+TEST(Slots, ALateTicketNeverHitsASlotGivenToAnother) {
+  Slots<int> table;
+  const Ticket first = table.add(1);
+  table.drop(first);
+  const Ticket second = table.add(2);
+  EXPECT_EQ(first.slot, second.slot);
+  EXPECT_EQ(table.find(first), nullptr);
+  table.drop(first);
+  EXPECT_EQ(*table.find(second), 2);
+}
+
+TEST(Starts, AStepOfTheMachinesClockIsNoRestart) {
+  Starts starts;
+  const Tenths first = starts.place("h", 1000, 50000, 20000);
+  EXPECT_EQ(first, 40000);
+  EXPECT_EQ(starts.place("h", 1000, 60000, 90000), first);
+  EXPECT_GT(starts.place("h", 2000, 60000, 30000), first);
+  EXPECT_EQ(starts.place("h", 0, 60000, 30000), 0);
+}
+
+TEST(Meter, AHostWhoseProbesWaitIsToldOnceASecondAndOnceMoreWhenOver) {
+  Meter meter;
+  Tenths now = 100000;
+  for (int i = 0; i < 5; ++i) meter.probed(now, 30);
+  EXPECT_FALSE(meter.tell(now, 500, {}));
+  meter.probed(now, 630);
+  EXPECT_GE(meter.tell(now, 500, {}), 600);
+  EXPECT_FALSE(meter.tell(now + 5000, 500, {}));
+  EXPECT_TRUE(meter.tell(now + 10000, 500, {}));
+  meter.probed(now + 11000, 35);
+  EXPECT_LT(meter.tell(now + 11000, 500, {}), 100);
+  EXPECT_FALSE(meter.tell(now + 22000, 500, {}));
+}
+
+TEST(Meter, LinesWithoutAnswerCountWithTheirAge) {
+  Meter meter;
+  EXPECT_EQ(meter.tell(100000, 500, {0, 20000, 21000}), 21000);
+}
+
+namespace {
+
+const std::string kOpen = "OPEN 1f 2e c=plain,t=x,d=2000,g=3d\r\n";
+
+}  // namespace
+
+TEST(Node, AConnectionIsServedAndItsBytesPassUnchanged) {
+  Net net;
+  const int client = net.client("PING\r\n" + kOpen);
+  const int host = net.host_accepts();
+  EXPECT_EQ(net.read(host).substr(0, 25), "OPEN 1f 2e c=plain,t=x,d=");
+  net.write(host, "UP abc\r\nfirst\r\n");
+  EXPECT_EQ(net.read(client), "PONG\r\nUP abc\r\nfirst\r\n");
+  const std::string large(70000, 'x');
+  net.write(client, "a line\r\nand a ha");
+  EXPECT_EQ(net.read(host), "a line\r\nand a ha");
+  net.write(host, large);
+  EXPECT_EQ(net.read(client, large.size()), large);
+  net.finish(client);
+  EXPECT_TRUE(net.ended(host));
+  net.write(host, "BYE\r\n");
+  EXPECT_EQ(net.read(client), "BYE\r\n");
+  net.finish(host);
+  EXPECT_TRUE(net.ended(client));
+}
+
+TEST(Node, ATurnedAwayTryGoesOnAndTheLastIsAnsweredBusyAtOnce) {
+  Net net;
+  const int client = net.client(kOpen);
+  for (int i = 0; i < 4; ++i) {
+    const int host = net.host_accepts();
+    net.read(host);
+    net.write(host, "BUSY\r\n");
+  }
+  EXPECT_EQ(net.read(client).substr(0, 5), "BUSY ");
+  EXPECT_TRUE(net.ended(client));
+}
+
+TEST(Node, NonsenseFromAHostCostsOnlyItsTry) {
+  Net net;
+  const int client = net.client(kOpen);
+  for (const std::string& nonsense :
+       {std::string("HTTP/1.1 400 Bad\r\n"), std::string(9000, 'x'), std::string("UP no e")}) {
+    const int host = net.host_accepts();
+    net.read(host);
+    net.write(host, nonsense);
+    net.finish(host);
+  }
+  net.write(net.host_accepts(), "UP fine\r\n");
+  EXPECT_EQ(net.read(client), "UP fine\r\n");
+}
+
+TEST(Node, BadInputFromAClientCostsItsConnectionOnly) {
+  Net net;
+  const int malformed = net.client("GET / HTTP/1.1\r\n"), endless = net.client(std::string(6000, 'x')),
+            fine = net.client(kOpen);
+  EXPECT_EQ(net.read(malformed), "ERR\r\n");
+  EXPECT_TRUE(net.ended(malformed));
+  EXPECT_EQ(net.read(endless), "ERR\r\n");
+  net.write(net.host_accepts(), "UP fine\r\n");
+  EXPECT_EQ(net.read(fine), "UP fine\r\n");
+}
+
+TEST(Node, AResetIsPassedOnAsOne) {
+  Net net;
+  const int client = net.client(kOpen);
+  const int host = net.host_accepts();
+  net.write(host, "UP x\r\n");
+  net.read(client);
+  net.reset(host);
+  EXPECT_TRUE(net.was_reset(client));
+}
+
+TEST(Node, AClientThatLeavesWhileItWaitsEndsItsTry) {
+  Net net;
+  const int client = net.client(kOpen);
+  const int host = net.host_accepts();
+  net.read(host);
+  net.reset(client);
+  EXPECT_TRUE(net.ended(host));
+}
+
+TEST(Node, AtSigtermStandingClientsAreMovedBetweenLinesAndTheNodeEnds) {
+  Net net;
+  const int client = net.client(kOpen);
+  const int host = net.host_accepts();
+  net.write(host, "UP x\r\nwhole\r\nhal");
+  EXPECT_EQ(net.read(client), "UP x\r\nwhole\r\n");
+  net.node->stop();
+  const int late = net.client(kOpen);
+  net.write(net.host_accepts(), "UP late\r\n");
+  EXPECT_EQ(net.read(late), "UP late\r\n");
+  EXPECT_EQ(net.read(client, 6, 2000), "MOVE\r\n");
+  EXPECT_TRUE(net.ended(client));
+  EXPECT_TRUE(net.ended(host));
+  net.finish(client);
+  EXPECT_EQ(net.read(late, 6, 2000), "MOVE\r\n");
+  net.finish(late);
+  net.run(1000);
+  EXPECT_TRUE(net.node->done());
+}
+
+TEST(Node, AConnectionWhoseLinesStayUnansweredIsMoved) {
+  Net net;
+  const int client = net.client(kOpen);
+  net.write(net.host_accepts(), "UP x\r\n");
+  net.read(client);
+  net.write(client, "hello\r\n");
+  EXPECT_EQ(net.read(client, 6, 5000), "MOVE\r\n");
+}
+
+TEST(Node, DiscoveryThatFailsIsAskedAgainAndItsWordsAreFollowed) {
+  Net net;
+  net.answers = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Net::http("garbage"),
+                 Net::http(R"({"generation":2,"reset":true,"instances":[]})")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }, 5000));
+  const int client = net.client(kOpen);
+  EXPECT_EQ(net.read(client).substr(0, 4), "BUSY");
+}
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -457,3 +457,36 @@
   }
   FAIL() << "all rejected";
 }
+
+TEST(Stopping, EverythingThatStandsIsMovedOnceTheFrontHasStopped) {
+  Fake fake;
+  fake.start(3);
+  for (int i = 0; i < 12; ++i) fake.arrive("a" + std::to_string(i), i), fake.stand("a" + std::to_string(i));
+  Event stop;
+  stop.kind = EventKind::stopping;
+  fake.tell(stop);
+  EXPECT_TRUE(fake.moved.empty());
+  fake.pass(4000);
+  EXPECT_TRUE(fake.moved.empty()) << "clients would come back to this node";
+  fake.pass(7000);
+  EXPECT_LT(fake.moved.size(), 12u) << "all in step";
+  fake.pass(6000);
+  EXPECT_EQ(std::set<std::string>(fake.moved.begin(), fake.moved.end()).size(), 12u);
+  EXPECT_EQ(fake.moved.size(), 12u);
+}
+
+TEST(Moves, AConnectionWithoutAnyAnswerIsMovedAloneAndOnce) {
+  Fake fake;
+  fake.start(2);
+  fake.arrive("a"), fake.stand("a");
+  fake.arrive("b"), fake.stand("b");
+  Event unanswered;
+  unanswered.kind = EventKind::unanswered;
+  unanswered.id = "a";
+  for (const double waited : {10000.0, 20000.0, 30000.0, 40000.0}) {
+    unanswered.figure = waited;
+    fake.tell(unanswered);
+    EXPECT_EQ(fake.moved.size(), waited < 30000 ? 0u : 1u);
+  }
+  EXPECT_EQ(fake.moved.front(), "a");
+}
