Hosts leaving the list give up connections; loop reads before it judges, binds again

A client that sends two lines and gets one back is no hung connection. A restart may meet the old process's address for a moment.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -2,14 +2,13 @@
 // Choice::take (src/choice.h); events, actions and settings are the plain values of src/words.h.
 // Inside, Roster, Ring, Desk and one Host a host are small actors: each reads notes from its own inbox and
 // speaks to the others only by posting notes; Parts::settle empties the inboxes, always in the same order.
-#include "choice.h"
-
 #include <algorithm>
 #include <cmath>
 #include <deque>
 #include <set>
 #include <utility>
 
+#include "choice.h"
 #include "notes.h"
 
 namespace dapplewharf {
@@ -198,8 +197,7 @@
     const bool full = recent() && load_ > kFull && note.looks < kLooks;
     around_.pass_on(note, Part::desk, may && !full ? Topic::taken : Topic::passed).looks += may ? 1 : 0;
     if (!may || full) return;
-    sends(1);
-    ++card_.open;
+    sends(1), ++card_.open;
   }
 
   void looked(const Event& event) {
@@ -259,15 +257,17 @@
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   // One that answers probes with errors may well serve what stands there; one with messages slower than any
-  // client's patience does not, whatever its probes say.
+  // client's patience does not, whatever its probes say. One that leaves the list cuts off what it holds.
   bool dead() const { return (!probes_.good && silent_) || (strained() && delay_ > longest_expiry()); }
-  bool relieves() const { return card_.open > 0 && (dead() || (strained() && delay_ * 2 > shortest_goal())); }
+  bool late() const { return strained() && delay_ * 2 > shortest_goal(); }
+  bool leaving() const { return state_ != HostState::healthy; }
+  bool relieves() const { return card_.open > 0 && (dead() || late() || leaving()); }
 
   void relieve() {
     if (!relieves() || around_.now < next_relief_) return;
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     if (begins) relief_since_ = around_.now;
-    if (fleet_.frozen) return;
+    if (fleet_.frozen && !leaving()) return;
     next_relief_ = around_.now + (dead() ? kPulse : kRelief);
     Note& note = around_.write(Part::desk, Topic::evict, id_);
     const Tenths steps = (around_.now - relief_since_) / kRelief + 1;
@@ -275,7 +275,9 @@
     note.fleet = fleet_;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
-                (dead() ? ", probes unanswered" : ", message ms " + figure(delay_ / kMs)));
+                (dead()      ? ", probes unanswered"
+                 : leaving() ? ", leaving the list"
+                             : ", message ms " + figure(delay_ / kMs)));
   }
 
   void result(Signal& signal, bool good) {
@@ -485,12 +487,10 @@
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
-      ++hosts;
-      scores += card.score;
+      ++hosts, scores += card.score;
       if (degraded(card)) ++bad;
       if (card.late > around_.now || card.shedding > around_.now) trouble_at_ = around_.now;
-      all_open += card.open;
-      all_size += card.size;
+      all_open += card.open, all_size += card.size;
       if (card.weight <= 0.5) continue;
       if (card.zone == zone) near_open += card.open, near_size += card.size;
       if (card.strained <= around_.now) roomy += card.size;
@@ -690,8 +690,7 @@
   void ended(Attachment& held, const Event& event) {
     if (event.number < 0 || event.number >= static_cast<int>(held.tries.size())) return;
     Try& last = held.tries[static_cast<std::size_t>(event.number)];
-    if (!last.out) return;
-    last.out = false;
+    if (!std::exchange(last.out, false)) return;
     last.may_have_run = event.outcome != Outcome::turned_away && event.outcome != Outcome::no_connection &&
                         event.outcome != Outcome::not_sent;
     tell_host(event, last.host, held.standing);
--- a/src/node/loop.cpp
+++ b/src/node/loop.cpp
@@ -50,12 +50,6 @@
 }
 
 void Loop::turn(Tenths longest) {
-  tick();
-  while (!deadlines_.empty() && deadlines_.begin()->first.when <= now_) {
-    const Due due = std::move(deadlines_.begin()->second);
-    deadlines_.erase(deadlines_.begin());
-    run(due);
-  }
   std::vector<pollfd> polled;
   std::vector<Ticket> tickets;
   watched_.each([&](Ticket ticket, const Watched& watched) {
@@ -63,20 +57,27 @@
     polled.push_back({watched.descriptor, watched.events, 0});
     tickets.push_back(ticket);
   });
+  tick();
   Tenths wait = longest;
   if (!deadlines_.empty()) wait = std::min(wait, deadlines_.begin()->first.when - now_);
   const auto ms = static_cast<int>((std::max<Tenths>(wait, 0) + 9) / 10);  // never before its time
   const int found = poll(polled.data(), polled.size(), ms);
-  tick();
   if (found < 0 && errno != EINTR) spdlog::error("poll: error {}", errno);
-  if (found <= 0) return;
-  for (std::size_t i = 0; i < polled.size(); ++i) {
+  tick();
+  late_ = deadlines_.empty() ? 0 : std::max<Tenths>(now_ - deadlines_.begin()->first.when, 0);
+  for (std::size_t i = 0; found > 0 && i < polled.size(); ++i) {
     if (polled[i].revents == 0) continue;
     Watched* watched = watched_.find(tickets[i]);
     if (!watched) continue;
     const Ready ready = watched->ready;  // it may drop itself
     run([&] { ready(polled[i].revents); });
   }
+  // Danger: after a pause of the process everything seems overdue; what has come meanwhile is read before.
+  while (!deadlines_.empty() && deadlines_.begin()->first.when <= now_) {
+    const Due due = std::move(deadlines_.begin()->second);
+    deadlines_.erase(deadlines_.begin());
+    run(due);
+  }
 }
 
 }  // namespace dapplewharf
--- a/src/node/loop.h
+++ b/src/node/loop.h
@@ -34,7 +34,10 @@
   void at(Deadline& deadline, Tenths when, Due due);  // in place of what stood there
   void cancel(Deadline& deadline);
 
-  void turn(Tenths longest);  // what is due, then one poll and what it found
+  void turn(Tenths longest);  // one poll and what it found, then what is due
+  // By how much this turn came too late for what was due: the process was held up, and so were all that it
+  // measures.
+  Tenths late() const { return late_; }
 
  private:
   struct Watched {
@@ -45,7 +48,7 @@
   void tick();
   void run(const Due& what) const;
 
-  Tenths start_ = 0, now_ = 0;
+  Tenths start_ = 0, now_ = 0, late_ = 0;
   std::uint64_t numbers_ = 0;
   Slots<Watched> watched_;
   std::map<Deadline, Due> deadlines_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,8 @@
 #include "../notes.h"
 #include "../settings.h"
 
+using nlohmann::json;
+
 namespace dapplewharf {
 namespace {
 
@@ -19,7 +21,8 @@
 constexpr Tenths kLongestWait =
     3 * kSecond;  // SIGKILL comes after the longest expiry, or after this, and 0.7 s
 constexpr Tenths kBeforeKill = 600 * kMs;
-constexpr double kOwnPart = 1.0 / 6;  // of a goal: what a message takes where nothing else is done
+constexpr Tenths kHeldUp = 50 * kMs;  // this process was: what it measured is its own delay
+constexpr double kOwnPart = 1.0 / 5;  // of a goal: what a message takes where nothing else is done
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr Tenths kHandOverTime = 10 * kSecond;
 constexpr Tenths kProbeSlack = 50 * kMs;  // over the time to connect, for a probe's answer
@@ -86,7 +89,8 @@
     : loop_(loop),
       configuration_(std::move(configuration)),
       settings_(settings_of(configuration_.env)),
-      groups_(configuration_.env.value("/extra/groups"_json_pointer, false)),
+      groups_(configuration_.env.contains("/extra/groups"_json_pointer) &&
+              configuration_.env.at("/extra/groups"_json_pointer) == true),
       shortest_goal_(static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0))),
       choice_(settings_, configuration_.seed, loop.now()),
       relay_(
@@ -95,7 +99,8 @@
           {[this](Ticket at, const Opening& opening) { came(at, opening); }, [this](Ticket at) { left(at); },
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
            [this](Ticket at, Tenths delay) {
-             if (const Held* found = held(at)) meters_[found->host].line_back(loop_.now(), delay);
+             const Held* found = held(at);
+             if (found && loop_.late() < kHeldUp) meters_[found->host].line_back(loop_.now(), delay);
            },
            [this](Ticket at, double load) {
              if (const Held* found = held(at))
@@ -117,14 +122,18 @@
                 Event& event = tell(EventKind::probe_ended, "", host);
                 event.outcome = outcome_of(probed.end);
                 event.took = probed.took;
-                if (probed.answer_after > 0) meters_[host].probed(loop_.now(), probed.answer_after);
+                if (probed.answer_after > 0 && loop_.late() < kHeldUp)
+                  meters_[host].probed(loop_.now(), probed.answer_after);
               }) {}
 
 std::optional<std::string> Node::start() {
   List known;
-  if (configuration_.known.is_object()) {
-    known = list_of(configuration_.known, discovery_.starts, loop_.now(), Loop::unix_now());
+  try {
+    if (!configuration_.known.is_null())
+      known = list_of(configuration_.known, discovery_.starts, loop_.now(), Loop::unix_now());
     discovery_.knows(known.version);
+  } catch (const std::exception& error) {
+    spdlog::warn("the list known before is not usable: {}", error.what());
   }
   listed(known, EventKind::list_copy);
   settle();
@@ -232,6 +241,7 @@
   looked_at_ = loop_.now();
   loop_.at(look_, looked_at_ + kLookEvery, [this] { look(); });
   std::map<std::string, std::pair<std::string, std::vector<Tenths>>> hosts;  // a connection there; the ages
+  if (loop_.late() >= kHeldUp) return;  // danger: after a pause every line seems unanswered
   relay_.each_standing([&](Ticket ticket, Tenths unanswered) {
     const Held* found = held(ticket);
     if (!found || !found->up) return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,6 +2,7 @@
 // what is known of each attachment's tries and how long hosts take for a message. Never chooses a host, a
 // further try, a rejection or a move.
 #pragma once
+#include <deque>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -15,7 +15,6 @@
 constexpr Tenths kKnownTime = 600000;       // for the next, from one that has sent PING
 constexpr Tenths kClosingTime = 10000;      // for the last bytes to be taken
 constexpr Tenths kLinger = 50000;           // a half-closed connection on which nothing comes
-constexpr std::size_t kUnansweredKept = 8;
 constexpr std::size_t kHeadKept = 32;
 
 }  // namespace
@@ -279,8 +278,7 @@
 void Relay::from_client(Link& link, std::size_t from) {
   counters_.bytes_to_hosts += link.host.out.size() - from;
   link.flowed = loop_.now();
-  for (std::size_t at = from; (at = link.host.out.find('\n', at)) != std::string::npos; ++at)
-    if (link.unanswered.size() < kUnansweredKept) link.unanswered.push_back(loop_.now());
+  if (link.asked_at == 0 && link.host.out.find('\n', from) != std::string::npos) link.asked_at = loop_.now();
 }
 
 void Relay::from_host(Ticket ticket, Link& link, std::size_t from) {
@@ -301,10 +299,8 @@
 void Relay::host_line(Ticket ticket, Link& link) {
   link.last = word_of(link.head);
   if (link.last == Word::load) return heard_.load_told(ticket, load_of(link.head));
-  if (link.last == Word::bye || link.last == Word::move || link.unanswered.empty()) return;
-  const Tenths since = link.unanswered.front();
-  link.unanswered.pop_front();
-  heard_.line_back(ticket, loop_.now() - since);
+  if (link.last == Word::bye || link.last == Word::move || link.asked_at == 0) return;
+  heard_.line_back(ticket, loop_.now() - std::exchange(link.asked_at, 0));
 }
 
 // Sends what may go to a side; false when that side is broken. A client is sent whole lines, so that MOVE can
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -3,8 +3,6 @@
 // deadline. Tells the node what happened and does what it is told; never chooses a host, a further try or an
 // answer.
 #pragma once
-#include <deque>
-
 #include "counters.h"
 #include "lines.h"
 #include "loop.h"
@@ -52,12 +50,11 @@
   void move(Ticket ticket);
   std::size_t open() const { return links_.size(); }
   std::size_t busy();  // those of clients that have said what they want
-  // How long each standing connection's oldest line has been unanswered; 0: none is.
+  // How long each standing connection's client has waited for a line; 0: it does not.
   template <class Visit>
   void each_standing(Visit visit) {
     links_.each([&](Ticket ticket, const Link& link) {
-      if (link.phase == Phase::relaying)
-        visit(ticket, link.unanswered.empty() ? 0 : loop_.now() - link.unanswered.front());
+      if (link.phase == Phase::relaying) visit(ticket, link.asked_at == 0 ? 0 : loop_.now() - link.asked_at);
     });
   }
 
@@ -80,13 +77,13 @@
     Reach reach = Reach::not_connected;
     bool connected = false;
     Tenths try_until = 0;
-    std::string first;              // the host's first line, as far as it has come
-    std::deque<Tenths> unanswered;  // when the client's last lines came
-    std::string head;               // the start of the host's line that is coming
-    Word last = Word::other;        // what the host's last whole line was
-    std::size_t whole = 0;          // bytes of client.out up to the end of a line
-    bool within_line = false;       // the client has the start of a line whose end has not come
-    bool moves = false;             // to be moved at the end of that line
+    std::string first;         // the host's first line, as far as it has come
+    Tenths asked_at = 0;       // when the client's first line since the host's last one came; 0: none has
+    std::string head;          // the start of the host's line that is coming
+    Word last = Word::other;   // what the host's last whole line was
+    std::size_t whole = 0;     // bytes of client.out up to the end of a line
+    bool within_line = false;  // the client has the start of a line whose end has not come
+    bool moves = false;        // to be moved at the end of that line
     bool client_first = false;
     Tenths flowed = 0;  // when bytes last came
   };
--- a/src/node/socket.cpp
+++ b/src/node/socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,6 +13,11 @@
 #include <cstring>
 
 namespace dapplewharf {
+namespace {
+
+constexpr int kBindTries = 20, kBindWaitMs = 100;
+
+}  // namespace
 
 std::optional<sockaddr_in> address_of(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -94,9 +100,14 @@
   Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
   if (made) setsockopt(made.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (!made || bind(made.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
-      listen(made.number(), SOMAXCONN) != 0)
-    return std::string(std::strerror(errno));
+  // Danger: at a restart the process before this one may not quite have gone.
+  int bound = -1;
+  for (int i = 0; made && bound != 0 && i < kBindTries; ++i) {
+    bound = bind(made.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    if (bound != 0 && errno != EADDRINUSE) break;
+    if (bound != 0) poll(nullptr, 0, kBindWaitMs);
+  }
+  if (bound != 0 || listen(made.number(), SOMAXCONN) != 0) return std::string(std::strerror(errno));
   socket = std::move(made);
   return std::nullopt;
 }
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -490,3 +490,23 @@
   }
   EXPECT_EQ(fake.moved.front(), "a");
 }
+
+TEST(Moves, AHostThatLeavesTheListGivesUpItsConnectionsAlsoWhileFrozen) {
+  for (const HostState state : {HostState::draining, HostState::gone}) {
+    Fake fake;
+    fake.settings["discovery"] = "on_request";
+    fake.start(2);
+    std::size_t there = 0;
+    for (int i = 0; i < 30; ++i) {
+      there += fake.arrive("a" + std::to_string(i), i) == "h0" ? 1 : 0;
+      fake.stand("a" + std::to_string(i));
+    }
+    fake.list(Fake::listing("h0"), state);
+    Event lost;
+    lost.kind = EventKind::list_lost;
+    fake.tell(lost);
+    fake.pass(120000);
+    EXPECT_GE(fake.moved.size() * 2, there);
+    for (const std::string& id : fake.moved) EXPECT_EQ(fake.tries[id].back(), "h0");
+  }
+}
