Probe connections to hosts gone are closed, the least probe holds two minutes; more stories

Danger: in a hurry twenty probes pass in four seconds, after which a slow host's own time was its least; and kept connections to machines that vanished added up. Stories for descriptors, slow readers, over-long lines and a kept connection that discovery closed.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -93,6 +93,9 @@
     node.report();
     spdlog::info("ended");
     return 0;
+  } catch (const json::exception& error) {
+    std::cerr << "dapplewharf: the configuration's 'settings' cannot be used: " << error.what() << std::endl;
+    return 1;
   } catch (const std::exception& error) {
     std::cerr << "dapplewharf: " << error.what() << std::endl;
     return 1;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,9 +15,9 @@
 constexpr Tenths kLookEvery = 100 * kMs;    // at how long lines have been unanswered
 constexpr Tenths kMeterSpan = 2 * kSecond;  // as often as clients send a line
 constexpr Tenths kTellEvery = kSecond;
-constexpr Tenths kProbeHolds = 5 * kSecond;  // what a probe showed, when none follows
-constexpr std::size_t kProbesKept = 20;      // some half minute: the least of them is the way there and back
-constexpr Tenths kStillComing = kSecond;     // clients go on coming that long after SIGTERM
+constexpr Tenths kProbeHolds = 5 * kSecond;    // what a probe showed, when none follows
+constexpr Tenths kLeastHolds = 120 * kSecond;  // the least that a probe took: the way there and back
+constexpr Tenths kStillComing = kSecond;       // clients go on coming that long after SIGTERM
 constexpr Tenths kLongestWait =
     3 * kSecond;  // SIGKILL comes after the longest expiry, or after this, and 0.7 s
 constexpr Tenths kBeforeKill = 600 * kMs;
@@ -32,9 +32,8 @@
 }  // namespace
 
 void Meter::probed(Tenths now, Tenths took) {
-  probed_at_ = now;
-  probes_.push_back(took);
-  if (probes_.size() > kProbesKept) probes_.pop_front();
+  probes_.emplace_back(now, took);
+  while (now - probes_.front().first >= kLeastHolds) probes_.pop_front();
 }
 
 // Danger: a host that is slow still echoes lines at once; only what waits in its queue shows it.
@@ -51,13 +50,15 @@
     std::nth_element(delays.begin(), middle, delays.end());
     delay = *middle;
   }
-  if (!probes_.empty() && now - probed_at_ < kProbeHolds) {
-    const Tenths least = std::max<Tenths>(*std::min_element(probes_.begin(), probes_.end()), 1);
-    const Tenths over = probes_.back() - least;
+  if (!probes_.empty() && now - probes_.back().first < kProbeHolds) {
+    Tenths least = probes_.back().second;
+    for (const auto& [when, took] : probes_) least = std::min(least, took);
+    least = std::max<Tenths>(least, 1);
+    const Tenths last = probes_.back().second, waited = last - least;
     // A message's own part of its goal grows as the probe has; the rest of the probe's time it waits as well.
-    const auto stretched = static_cast<Tenths>(kOwnPart * static_cast<double>(goal * probes_.back()) /
-                                               static_cast<double>(least));
-    delay = std::max(delay.value_or(0), over > kNoise ? std::max(over, stretched) : over);
+    const auto stretched =
+        static_cast<Tenths>(kOwnPart * static_cast<double>(goal * last) / static_cast<double>(least));
+    delay = std::max(delay.value_or(0), waited > kNoise ? std::max(waited, stretched) : waited);
   }
   if (!delay) return std::nullopt;
   const bool over = *delay > limit;
@@ -233,6 +234,12 @@
 
 void Node::listed(const List& list, EventKind kind) {
   for (const auto& [host, address] : list.addresses) addresses_[host] = address;
+  std::set<std::string> up;
+  for (const Listing& listing : list.listings)
+    if (listing.state != HostState::gone) up.insert(listing.host);
+    else probes_.forget(listing.host);
+  for (const auto& [host, address] : addresses_)
+    if (list.whole && !up.count(host)) probes_.forget(host);
   tell(kind).listings = list.listings;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,9 +32,9 @@
   std::optional<Tenths> tell(Tenths now, Tenths limit, const std::vector<Tenths>& unanswered);
 
  private:
-  std::deque<std::pair<Tenths, Tenths>> lines_;
-  std::deque<Tenths> probes_;
-  Tenths probed_at_ = 0, told_at_ = 0;
+  std::deque<std::pair<Tenths, Tenths>> lines_;  // when, how long
+  std::deque<std::pair<Tenths, Tenths>> probes_;
+  Tenths told_at_ = 0;
   bool over_ = false;
 };
 
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -36,6 +36,14 @@
   loop_.want(line.watched, POLLIN | POLLOUT);
 }
 
+// Danger: connections kept to machines that are gone without a word would add up.
+void Probes::forget(const std::string& host) {
+  const auto found = lines_.find(host);
+  if (found == lines_.end()) return;
+  over(host, found->second, Cause::cancelled, false);
+  lines_.erase(host);
+}
+
 void Probes::dial_out(const std::string& host, Line& line) {
   line.reach = Reach::not_connected;
   line.stale = false;
--- a/src/node/probes.h
+++ b/src/node/probes.h
@@ -19,7 +19,7 @@
   Probes(Loop& loop, Counters& counters, int descriptors, Tenths patience, Told told);
 
   void probe(const std::string& host, const std::string& address);
-  void forget(const std::string& host) { lines_.erase(host); }
+  void forget(const std::string& host);  // ends what is out, and its connection
 
  private:
   struct Line {
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -182,12 +182,13 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
-  Net() {
+  explicit Net(int descriptors = 1024) {
     const std::string at = text_of(listening(hosts));
     nlohmann::json list = nlohmann::json::array();
     for (const char* id : {"h0", "h1", "h2", "h3"})
       list.push_back({{"instanceId", id}, {"hostPort", at}, {"zone", "near"}, {"lifecycle", "up"}});
     Configuration to;
+    to.descriptors = descriptors;
     to.discovery = text_of(listening(discovery));
     {
       Socket free;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -213,3 +213,61 @@
   const int client = net.client(kOpen);
   EXPECT_EQ(net.read(client).substr(0, 4), "BUSY");
 }
+
+TEST(Node, OutOfDescriptorsEveryClientStillGetsAnAnswer) {
+  Net net(64);
+  std::vector<int> clients;
+  for (int i = 0; i < 60; ++i) clients.push_back(net.client(kOpen));
+  for (const int client : clients) EXPECT_EQ(net.read(client, 4, 3000).substr(0, 4), "BUSY");
+  for (const int client : clients) net.reset(client);
+  EXPECT_EQ(net.read(net.client("PING\r\n")), "PONG\r\n");
+}
+
+TEST(Node, ASlowReaderHoldsUpItsOwnConnectionOnlyAndLittleOfIt) {
+  Net net;
+  const int slow = net.client(kOpen), host = net.host_accepts();
+  net.write(host, "UP x\r\n");
+  EXPECT_EQ(net.read(slow), "UP x\r\n");
+  std::string line(1000, 'x');
+  line.replace(998, 2, "\r\n");
+  std::size_t taken = 0, got = 1;
+  for (int i = 0; i < 20000 && got > 0;
+       ++i) {  // until nothing more is taken: the kernel's buffers and the node's
+    got = net.socket(host).send(line.data(), line.size()).value_or(0);
+    taken += got;
+    net.run(got > 0 ? 0 : 50);
+    if (got == 0) got = net.socket(host).send(line.data(), line.size()).value_or(0), taken += got;
+  }
+  EXPECT_LT(taken, 19000u * 1000u);
+  const int other = net.client(kOpen);
+  net.write(net.host_accepts(), "UP y\r\n");
+  EXPECT_EQ(net.read(other), "UP y\r\n");
+  std::string all;
+  bool ended = false;
+  net.until([&] { return net.socket(slow).receive(all, 65536, ended), all.size() >= taken / 1000 * 1000; },
+            5000);
+  EXPECT_EQ(all.size(), taken / 1000 * 1000) << "whole lines, and all of them";
+}
+
+TEST(Node, ALineLongerThanTheProtocolsPassesAndMoveStandsAfterIt) {
+  Net net;
+  const int client = net.client(kOpen), host = net.host_accepts();
+  net.write(host, "UP x\r\n" + std::string(9000, 'x'));
+  EXPECT_EQ(net.read(client, 9006).size(), 9006u);
+  net.node->stop();
+  net.run(1200);
+  net.write(host, "end\r\nnext");
+  EXPECT_EQ(net.read(client, 11, 1500), "end\r\nMOVE\r\n");
+}
+
+TEST(Node, AKeptConnectionThatDiscoveryClosedCostsNoLoss) {
+  Net net;
+  const std::string none = R"({"generation":2,"reset":false,"instances":[]})";
+  net.answers = {Net::http(none)};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+  net.run(20);
+  net.call.close();  // the next call is out already, or is to be made anew
+  net.asked.clear();
+  net.answers = {Net::http(R"({"generation":3,"reset":true,"instances":[]})")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }, 300)) << "a watch goes on within 200 ms";
+}
