What a host has ended is ended in time; a hasty list service is asked with pauses

Danger: a client that keeps writing after its host's FIN held the link open; it is ended after 0.8 s. A list service that answers without waiting was asked without end; now with 0.1 s between, which keeps the watch.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -2,13 +2,14 @@
 // Choice::take (src/choice.h); events, actions and settings are the plain values of src/words.h.
 // Inside, Roster, Ring, Desk and one Host a host are small actors: each reads notes from its own inbox and
 // speaks to the others only by posting notes; Parts::settle empties the inboxes, always in the same order.
+#include "choice.h"
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
 #include <set>
 #include <utility>
 
-#include "choice.h"
 #include "notes.h"
 
 namespace dapplewharf {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -15,6 +15,7 @@
 // Short, so that a watch that hangs is noticed long before the node counts as told.
 constexpr Tenths kWait = 50000;
 constexpr Tenths kPatience = 15000;       // for an answer, over the wait that was asked for
+constexpr Tenths kPause = 1000;           // short enough for the watch to go on
 constexpr Tenths kFetchPatience = 40000;  // calls wait in turn behind those of other nodes
 
 HostState state_of(const std::string& word) {
@@ -88,6 +89,7 @@
   ++counters_.list_calls;
   request_ = get_request(address_, target);
   patience_ = patience;
+  called_at_ = loop_.now();
   stale_ = static_cast<bool>(socket_);
   sent_ = 0;
   in_.clear();
@@ -147,10 +149,14 @@
   out_ = false;
   loop_.cancel(deadline_);
   if (closes) hang_up();
+  const bool news = list.version != version_;
   version_ = list.version;
   if (list.whole) fetching_ = false;
   ++counters_.lists;
-  next();  // first: a watch goes on only if its next call comes soon
+  // Danger: a service that answers without waiting would be asked without end.
+  if (!news && loop_.now() - called_at_ < kPause)
+    loop_.at(deadline_, loop_.now() + kPause, [this] { next(); });
+  else next();  // first: a watch goes on only if its next call comes soon
   heard_.listed(list);
 }
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -15,6 +15,7 @@
 constexpr Tenths kKnownTime = 600000;       // for the next, from one that has sent PING
 constexpr Tenths kClosingTime = 10000;      // for the last bytes to be taken
 constexpr Tenths kLinger = 50000;           // a half-closed connection on which nothing comes
+constexpr Tenths kHostEnded = 8000;         // for the client to end what its host has ended
 constexpr std::size_t kHeadKept = 32;
 
 }  // namespace
@@ -363,11 +364,11 @@
 void Relay::set_linger(Ticket ticket) {
   Link* link = links_.find(ticket);
   if (!link || link->deadline.number != 0) return;
-  loop_.at(link->deadline, loop_.now() + kLinger, [this, ticket] {
+  loop_.at(link->deadline, loop_.now() + (link->host.in_ended ? kHostEnded : kLinger), [this, ticket] {
     Link* held = links_.find(ticket);
     if (!held) return;
     held->deadline = {};
-    if (loop_.now() - held->flowed < kLinger) return set_linger(ticket);
+    if (!held->host.in_ended && loop_.now() - held->flowed < kLinger) return set_linger(ticket);
     finished(ticket, *held);  // danger: half-closed connections that nobody ends take all descriptors
   });
 }
