--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -173,6 +173,7 @@
   event.key = opening.key;
   if (groups_) event.group = opening.group;
   event.expiry = loop_.now() + opening.wait;
+  if (stopping_) event.expiry = std::min(event.expiry, ends_by() - kLookEvery);  // no answer comes later
   event.repeated = opening.repeated;
   event.returned = opening.returned;
   if (!opening.at.empty()) {
@@ -329,10 +330,13 @@
 // Danger: what is still held when the process is killed is lost; it ends by itself before that.
 bool Node::done() {
   if (!stopping_) return false;
-  const Tenths since = loop_.now() - stopped_at_;
+  if (loop_.now() >= ends_by()) return true;
+  return loop_.now() - stopped_at_ >= kStillComing && held_.empty() && relay_.busy() == 0;
+}
+
+Tenths Node::ends_by() const {
   const auto expiry = static_cast<Tenths>(extreme(settings_, "traffic.", ".expiry", 1, 0));
-  if (since >= std::min(expiry, kLongestWait) + kBeforeKill) return true;
-  return since >= kStillComing && held_.empty() && relay_.busy() == 0;
+  return stopped_at_ + std::min(expiry, kLongestWait) + kBeforeKill;
 }
 
 void Node::report() const { spdlog::info("{}", counters_.told()); }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,6 +68,7 @@
   void act(const Action& action);
   void answer(const std::string& id, const std::string& line);
   void subscribe();
+  Tenths ends_by() const;  // once it is stopping, at the latest
   Event& tell(EventKind kind, const std::string& id = "", const std::string& host = "");
   Held* held(Ticket ticket);
 
