--- a/tests/helper.h
+++ b/tests/helper.h
@@ -164,6 +164,7 @@
   std::vector<Socket> made;
   std::deque<std::string> answers;
   std::string asked;
+  int calls = 0;  // connections that discovery took
   sockaddr_in front{};
 
   static std::string text_of(const sockaddr_in& at) {
@@ -208,7 +209,10 @@
   void turn() {
     loop.turn(50);
     node->settle();
-    if (!call) call = Socket(accept4(discovery.number(), nullptr, nullptr, SOCK_NONBLOCK));
+    if (!call) {
+      call = Socket(accept4(discovery.number(), nullptr, nullptr, SOCK_NONBLOCK));
+      calls += call ? 1 : 0;
+    }
     bool ended = false;
     if (!call || !call.receive(asked, 4096, ended) || ended) call.close(), asked.clear();
     if (!call || answers.empty() || asked.find("\r\n\r\n") == std::string::npos) return;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -291,3 +291,11 @@
   EXPECT_EQ(net.read(known), "UP x\r\n");
   EXPECT_EQ(net.read(net.client("OPEN 1 2 c=plain,t=x,d=4294967,at=nobody\r\n")), "ERR\r\n");
 }
+
+TEST(Node, DiscoveryThatHangsIsGivenUpBeforeTheNodeCountsAsTold) {
+  Net net;
+  net.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf a body"};
+  EXPECT_TRUE(net.until([&] { return net.calls == 1; }));
+  EXPECT_TRUE(net.until([&] { return net.calls == 2; }, 9000))
+      << "two seconds after the wait of five, and a retry";
+}
