Node read once more: one turn-away, one try deadline, one address lookup; behaviour the same

Found on reading the whole change: turning a client away and a try's deadline each stood twice in src/node/relay.cpp; a link's 'connected' said what its reach says; the address of a host was looked up in two places and for every action, logs included; discovery kept a patience only to work out a time that called_at_ tells (the line 'answer is lost after N ms' now counts from the call); raw tenths stood beside kSecond and kMs; a comment of Meter::tell named a figure it no longer takes; two parsers were exported that only lines.cpp uses. Looked at and left: the stories of a reset and of a client that leaves are alike in shape and differ in what they check; the tables of setting names are data; the drill reads JSON leniently and discovery strictly, on purpose.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../notes.h"
 #include "../settings.h"
 #include "http.h"
 
@@ -13,10 +14,10 @@
 namespace {
 
 // Short, so that a watch that hangs is noticed long before the node counts as told.
-constexpr Tenths kWait = 50000;
-constexpr Tenths kPatience = 15000;       // for an answer, over the wait that was asked for
-constexpr Tenths kPause = 1000;           // short enough for the watch to go on
-constexpr Tenths kFetchPatience = 40000;  // calls wait in turn behind those of other nodes
+constexpr Tenths kWait = 5 * kSecond;
+constexpr Tenths kPatience = 1500 * kMs;        // for an answer, over the wait that was asked for
+constexpr Tenths kPause = 100 * kMs;            // short enough for the watch to go on
+constexpr Tenths kFetchPatience = 4 * kSecond;  // calls wait in turn behind those of other nodes
 
 HostState state_of(const std::string& word) {
   if (word == "up") return HostState::healthy;
@@ -80,7 +81,7 @@
   if (out_) return;
   if (fetching_) return call("/api/targets", kFetchPatience);
   if (!watching_) return;
-  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWait / 10),
+  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWait / kMs),
        kWait + kPatience);
 }
 
@@ -88,12 +89,11 @@
   out_ = true;
   ++counters_.list_calls;
   request_ = get_request(address_, target);
-  patience_ = patience;
   called_at_ = loop_.now();
   stale_ = static_cast<bool>(socket_);
   sent_ = 0;
   in_.clear();
-  loop_.at(deadline_, loop_.now() + patience_, [this] { broken(false); });
+  loop_.at(deadline_, loop_.now() + patience, [this] { broken(false); });
   if (!socket_) return dial_out();
   loop_.want(watched_, POLLIN | POLLOUT);
   ready();
@@ -166,8 +166,7 @@
     stale_ = false;
     return dial_out();
   }
-  spdlog::warn("discovery's answer is lost after {} ms",
-               (loop_.now() - (deadline_.number ? deadline_.when - patience_ : loop_.now())) / 10);
+  spdlog::warn("discovery's answer is lost after {} ms", (loop_.now() - called_at_) / kMs);
   hang_up();
   loop_.cancel(deadline_);
   out_ = watching_ = fetching_ = false;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -63,7 +63,7 @@
   std::int64_t version_ = 0;
   bool watching_ = false, fetching_ = false;  // wanted
   bool out_ = false, stale_ = false;          // a call is out; on a connection that served an earlier one
-  Tenths patience_ = 0, called_at_ = 0;
+  Tenths called_at_ = 0;
   Socket socket_;
   Ticket watched_;
   Loop::Deadline deadline_;
--- a/src/node/lines.cpp
+++ b/src/node/lines.cpp
@@ -9,6 +9,20 @@
 namespace dapplewharf {
 namespace {
 
+std::string_view without_end(std::string_view line) {
+  if (line.ends_with('\n')) line.remove_suffix(1);
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
+// Hexadecimal digits as a number, anything else by its hash.
+std::int64_t whole_of(std::string_view word) {
+  std::uint64_t value = 0;
+  const auto [end, fault] = std::from_chars(word.data(), word.data() + word.size(), value, 16);
+  if (fault != std::errc() || end != word.data() + word.size()) value = hash(std::string(word));
+  return static_cast<std::int64_t>(value);
+}
+
 std::string_view first_word(std::string_view& rest) {
   rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
   const std::string_view word = rest.substr(0, rest.find(' '));
@@ -25,19 +39,6 @@
 
 }  // namespace
 
-std::string_view without_end(std::string_view line) {
-  if (line.ends_with('\n')) line.remove_suffix(1);
-  if (line.ends_with('\r')) line.remove_suffix(1);
-  return line;
-}
-
-std::int64_t whole_of(std::string_view word) {
-  std::uint64_t value = 0;
-  const auto [end, fault] = std::from_chars(word.data(), word.data() + word.size(), value, 16);
-  if (fault != std::errc() || end != word.data() + word.size()) value = hash(std::string(word));
-  return static_cast<std::int64_t>(value);
-}
-
 Opened opening_of(std::string_view line) {
   Opening to;
   std::string_view rest = without_end(line);
--- a/src/node/lines.h
+++ b/src/node/lines.h
@@ -34,7 +34,4 @@
 Word word_of(std::string_view line);
 double load_of(std::string_view line);  // of a LOAD line; below 0 where there is no figure
 
-std::string_view without_end(std::string_view line);
-std::int64_t whole_of(std::string_view word);  // hexadecimal digits as a number, anything else by its hash
-
 }  // namespace dapplewharf
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -25,7 +25,7 @@
 void on_signal(int number) {
   const int kept = errno;
   const char byte = static_cast<char>(number);
-  if (write(signal_pipe[1], &byte, 1) < 0) errno = kept;  // full: enough of them wait
+  [[maybe_unused]] const ssize_t written = write(signal_pipe[1], &byte, 1);  // full: enough of them wait
   errno = kept;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -151,6 +151,11 @@
   loop_.at(again_, loop_.now() + wait, [this] { discovery_.watch(); });
 }
 
+std::string Node::address(const std::string& host) const {
+  const auto found = addresses_.find(host);
+  return found == addresses_.end() ? "" : found->second;
+}
+
 Event& Node::tell(EventKind kind, const std::string& id, const std::string& host) {
   Event& event = events_.emplace_back();
   event.kind = kind;
@@ -186,9 +191,8 @@
   }
   held_[event.id] = made;
   if (opening.at.empty()) return;
-  const auto address = addresses_.find(opening.at);
-  const std::string to = address == addresses_.end() ? "" : address->second;
-  relay_.try_at(ticket, address_of(to), opening.wait, kHandOverTime);  // all of them at once: no hurry
+  relay_.try_at(ticket, address_of(address(opening.at)), opening.wait,
+                kHandOverTime);  // all of them at once: no hurry
 }
 
 void Node::left(Ticket ticket) {
@@ -281,8 +285,6 @@
 
 void Node::act(const Action& action) {
   const auto found = held_.find(action.id);
-  const auto address = addresses_.find(action.host);
-  const std::string at = address == addresses_.end() ? "" : address->second;
   switch (action.kind) {
     case ActionKind::setup_try:
       if (found == held_.end()) return;
@@ -290,7 +292,7 @@
       found->second.sent = loop_.now();
       ++found->second.tries;
       found->second.out = true;
-      return relay_.try_at(found->second.ticket, address_of(at), action.time);
+      return relay_.try_at(found->second.ticket, address_of(address(action.host)), action.time);
     case ActionKind::cancel_try:
       if (found != held_.end()) relay_.cancel(found->second.ticket);
       return;
@@ -307,7 +309,7 @@
       ended(ticket, {Reach::up, Cause::cancelled});
       return relay_.move(ticket);
     }
-    case ActionKind::probe: return probes_.probe(action.host, at);
+    case ActionKind::probe: return probes_.probe(action.host, address(action.host));
     case ActionKind::set_alarm: {
       Loop::Deadline one;  // alarms are never withdrawn
       return loop_.at(one, loop_.now() + action.time,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,9 +27,9 @@
  public:
   void line_back(Tenths now, Tenths delay) { lines_.emplace_back(now, delay); }
   void probed(Tenths now, Tenths took);
-  // What is to be told now, if anything: once a second while it is over `limit`, and once more when it is
+  // What is to be told now, if anything: once a second while it is over a third of `goal`, once more when
   // under.
-  std::optional<Tenths> tell(Tenths now, Tenths limit, const std::vector<Tenths>& unanswered);
+  std::optional<Tenths> tell(Tenths now, Tenths goal, const std::vector<Tenths>& unanswered);
 
  private:
   std::deque<std::pair<Tenths, Tenths>> lines_;  // when, how long
@@ -68,7 +68,8 @@
   void act(const Action& action);
   void answer(const std::string& id, const std::string& line);
   void subscribe();
-  Tenths ends_by() const;  // once it is stopping, at the latest
+  Tenths ends_by() const;                              // once it is stopping, at the latest
+  std::string address(const std::string& host) const;  // as discovery last told it; empty where it did not
   Event& tell(EventKind kind, const std::string& id = "", const std::string& host = "");
   Held* held(Ticket ticket);
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -7,15 +7,17 @@
 
 #include <cerrno>
 
+#include "../notes.h"
+
 namespace dapplewharf {
 namespace {
 
-constexpr std::size_t kBuffer = 16 * 1024;  // bytes held for one side before the other is no longer read
-constexpr Tenths kGreetingTime = 100000;    // for a first line to come whole
-constexpr Tenths kKnownTime = 600000;       // for the next, from one that has sent PING
-constexpr Tenths kClosingTime = 10000;      // for the last bytes to be taken
-constexpr Tenths kLinger = 50000;           // a half-closed connection on which nothing comes
-constexpr Tenths kHostEnded = 8000;         // for the client to end what its host has ended
+constexpr std::size_t kBuffer = 16 * 1024;      // bytes held for one side before the other is no longer read
+constexpr Tenths kGreetingTime = 10 * kSecond;  // for a first line to come whole
+constexpr Tenths kKnownTime = 60 * kSecond;     // for the next, from one that has sent PING
+constexpr Tenths kClosingTime = kSecond;        // for the last bytes to be taken
+constexpr Tenths kLinger = 5 * kSecond;         // a half-closed connection on which nothing comes
+constexpr Tenths kHostEnded = 800 * kMs;        // for the client to end what its host has ended
 constexpr std::size_t kHeadKept = 32;
 
 }  // namespace
@@ -47,9 +49,7 @@
     setsockopt(taken.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     // Danger: with all descriptors taken clients would hang unheard; the last ones serve to turn them away.
     if (taken.number() >= descriptors_ - kKeptBack / 2) {
-      ++counters_.no_descriptor;
-      taken.send("BUSY\r\n", 6);
-      taken.finish();
+      turn_away(taken);
       continue;
     }
     const int descriptor = taken.number();
@@ -63,15 +63,17 @@
   }
 }
 
+void Relay::turn_away(const Socket& taken) {
+  ++counters_.no_descriptor;
+  taken.send("BUSY\r\n", 6);
+  taken.finish();
+}
+
 void Relay::turn_away_one() {
   spare_.close();
   {
     Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (taken) {
-      ++counters_.no_descriptor;
-      taken.send("BUSY\r\n", 6);
-      taken.finish();
-    }
+    if (taken) turn_away(taken);
   }
   spare_ = Socket(::open("/dev/null", O_RDONLY | O_CLOEXEC));
   errno = EMFILE;
@@ -166,7 +168,6 @@
   ++counters_.tries;
   link->try_out = true;
   link->reach = Reach::not_connected;
-  link->connected = false;
   link->first.clear();
   link->try_until = loop_.now() + time_out;
   const Dial dialled = address ? dial(*address, descriptors_, kKeptBack, link->host.socket) : Dial::refused;
@@ -176,20 +177,21 @@
                                    [this, ticket](short) { guarded(ticket, &Relay::host_ready); });
   const Tenths connect_until =
       std::min(link->try_until, loop_.now() + (connect_time > 0 ? connect_time : connect_time_));
-  loop_.at(link->deadline, connect_until, [this, ticket] {
+  times_out(ticket, *link, connect_until);
+}
+
+void Relay::times_out(Ticket ticket, Link& link, Tenths when) {
+  loop_.at(link.deadline, when, [this, ticket] {
     if (Link* late = links_.find(ticket)) end_try(ticket, *late, Cause::time_out);
   });
 }
 
 bool Relay::deliver(Ticket ticket, Link& link) {
-  if (!link.connected) {
+  if (link.reach == Reach::not_connected) {
     if (!link.host.socket.connected()) return end_try(ticket, link, Cause::broken), false;
-    link.connected = true;
     link.reach = Reach::partly_written;
     link.host.out = with_wait(link.opening, link.try_until - loop_.now());
-    loop_.at(link.deadline, link.try_until, [this, ticket] {
-      if (Link* late = links_.find(ticket)) end_try(ticket, *late, Cause::time_out);
-    });
+    times_out(ticket, link, link.try_until);
   }
   if (link.reach == Reach::written) return true;
   const auto given = link.host.socket.send(link.host.out.data(), link.host.out.size());
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -75,7 +75,6 @@
     Opening opening;
     bool try_out = false;
     Reach reach = Reach::not_connected;
-    bool connected = false;
     Tenths try_until = 0;
     std::string first;         // the host's first line, as far as it has come
     Tenths asked_at = 0;       // when the client's first line since the host's last one came; 0: none has
@@ -89,12 +88,14 @@
   };
 
   void accept_all();
+  void turn_away(const Socket& taken);
   void turn_away_one();
   void client_ready(Ticket ticket);
   void host_ready(Ticket ticket);
   void greet(Ticket ticket, Link& link);
   bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
   void await_up(Ticket ticket, Link& link);
+  void times_out(Ticket ticket, Link& link, Tenths when);
   void end_try(Ticket ticket, Link& link, Cause cause);
   void drop_host(Link& link);
   void from_client(Link& link, std::size_t from);
