--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -886,8 +886,7 @@
 Choice::Choice(Settings settings, std::uint64_t seed, Tenths now)
     : parts_(std::make_unique<Parts>(std::move(settings), seed, now)) {}
 Choice::~Choice() = default;
-Choice::Choice(Choice&&) noexcept = default;
-Choice& Choice::operator=(Choice&&) noexcept = default;
+void Choice::adopt(Settings settings) { parts_->around.settings = std::move(settings); }
 
 std::vector<Action> Choice::take(Tenths now, const std::vector<Event>& events) {
   parts_->around.now = std::max(now, parts_->around.now);
--- a/src/choice.h
+++ b/src/choice.h
@@ -10,12 +10,11 @@
 
 class Choice {
  public:
+  // Throws std::runtime_error naming a setting that a rule needs and that is missing.
   Choice(Settings settings, std::uint64_t seed, Tenths now);
   ~Choice();
-  Choice(Choice&&) noexcept;
-  Choice& operator=(Choice&&) noexcept;
 
-  // Throws std::runtime_error naming a setting that a rule needs and that is missing.
+  void adopt(Settings settings);  // others from now on; sound ones, as a Choice made of them has shown
   std::vector<Action> take(Tenths now, const std::vector<Event>& events);
 
  private:
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -136,7 +136,7 @@
       nodes.erase(node);
       if (verb == "Boot") {
         const std::uint64_t seed = event.at("prng").get<std::uint64_t>();
-        nodes.emplace(node, Choice(settings_of(event.at("env")), seed, now));
+        nodes.try_emplace(node, settings_of(event.at("env")), seed, now);
       }
     } else if (std::optional<Event> known = event_of(event)) {
       events.push_back(std::move(*known));
--- /dev/null
+++ b/src/node/configuration.cpp
@@ -0,0 +1,69 @@
+#include "configuration.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+#include "../choice.h"
+#include "../settings.h"
+#include "socket.h"
+
+using nlohmann::json;
+
+namespace dapplewharf {
+namespace {
+
+std::string told(const json& from, Source source, const char* variable, const char* name) {
+  const char* value = source == Source::environment_first ? std::getenv(variable) : nullptr;
+  if (value && *value) return value;
+  if (!from.contains(name) || !from[name].is_string())
+    throw std::runtime_error(
+        "the configuration has no '" + std::string(name) + "'" +
+        (source == Source::environment_first ? ", nor is " + std::string(variable) + " set" : ""));
+  return from[name].get<std::string>();
+}
+
+Configuration checked(const std::string& path, Source source) {
+  if (path.empty()) throw std::runtime_error("PROXY_CONFIG is not set");
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("PROXY_CONFIG cannot be read: " + path);
+  const json from = json::parse(file, nullptr, false);
+  if (!from.is_object()) throw std::runtime_error("PROXY_CONFIG is no JSON object: " + path);
+  Configuration to;
+  to.name = told(from, source, "PROXY_NAME", "name");
+  to.listen = told(from, source, "PROXY_LISTEN", "listen");
+  to.discovery = told(from, source, "PROXY_DISCOVERY", "discovery");
+  if (!address_of(to.listen)) throw std::runtime_error("'listen' is no address: " + to.listen);
+  if (!address_of(to.discovery)) throw std::runtime_error("'discovery' is no address: " + to.discovery);
+  if (!from.contains("settings") || !from["settings"].is_object())
+    throw std::runtime_error("the configuration has no 'settings'");
+  to.env = from["settings"];
+  // Danger: settings that lack a rule would be found out only by the attachments that break it.
+  try {
+    Choice(settings_of(to.env), 0, 0);
+  } catch (const json::exception& error) {
+    throw std::runtime_error(std::string("'settings' cannot be used: ") + error.what());
+  }
+  const std::string seed =
+      from.contains("seed") && from["seed"].is_string() ? from["seed"].get<std::string>() : "";
+  const auto [end, fault] = std::from_chars(seed.data(), seed.data() + seed.size(), to.seed, 16);
+  if (fault != std::errc() || end != seed.data() + seed.size())
+    throw std::runtime_error("the configuration has no hexadecimal 'seed'");
+  if (from.contains("known")) to.known = from["known"];
+  const json sockets = from.value("/limits/sockets"_json_pointer, json(1024));
+  if (!sockets.is_number() || sockets.get<double>() < 4 * kKeptBack || sockets.get<double>() > 1e7)
+    throw std::runtime_error("'limits.sockets' is no number or too small to serve");
+  to.descriptors = sockets.get<int>();
+  return to;
+}
+
+}  // namespace
+
+Read read_configuration(const std::string& path, Source source) {
+  try {
+    return {checked(path, source), ""};
+  } catch (const std::exception& error) { return {std::nullopt, error.what()}; }
+}
+
+}  // namespace dapplewharf
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -60,11 +60,11 @@
   return to;
 }
 
-Discovery::Discovery(Loop& loop, Counters& counters, std::string address, int descriptors, Heard heard)
+Discovery::Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits, Heard heard)
     : loop_(loop),
       counters_(counters),
       address_(std::move(address)),
-      descriptors_(descriptors),
+      limits_(limits),
       heard_(std::move(heard)) {}
 
 void Discovery::watch() {
@@ -77,9 +77,22 @@
   next();
 }
 
+// Danger: versions are counted by each place for itself. Changes after a version of the old one would leave
+// out a drain, so nothing but a whole list will do until one has come. A call that is out is no loss: the
+// module keeps its list and its weights, and the watch goes on at the new place by itself.
+void Discovery::move_to(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  hang_up();
+  loop_.cancel(deadline_);
+  out_ = false;
+  anew_ = true;
+  fetch();
+}
+
 void Discovery::next() {
   if (out_) return;
-  if (fetching_) return call("/api/targets", kFetchPatience);
+  if (fetching_ || (watching_ && anew_)) return call("/api/targets", kFetchPatience);
   if (!watching_) return;
   call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWait / kMs),
        kWait + kPatience);
@@ -104,7 +117,7 @@
   connected_ = false;
   sent_ = 0;
   in_.clear();
-  if (!at || dial(*at, descriptors_, kLastOnes, socket_) != Dial::begun) {
+  if (!at || dial(*at, limits_.descriptors, kLastOnes, socket_) != Dial::begun) {
     // Told in a turn of its own: the caller may be amid its own work.
     return loop_.at(deadline_, loop_.now(), [this] { broken(false); });
   }
@@ -151,7 +164,7 @@
   if (closes) hang_up();
   const bool news = list.version != version_;
   version_ = list.version;
-  if (list.whole) fetching_ = false;
+  if (list.whole) fetching_ = anew_ = false;
   ++counters_.lists;
   // Danger: a service that answers without waiting would be asked without end.
   if (!news && loop_.now() - called_at_ < kPause)
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -1,6 +1,6 @@
 // Discovery: one call at a time for the list or for its changes, and the watch kept on as long as it is
-// answered. Owns that one connection and the version of the list; never decides when to begin a watch anew:
-// a loss is told and left to the node.
+// answered, also over a move to another place. Owns that one connection and the version of the list; never
+// decides when to begin a watch anew: a loss is told and left to the node.
 #pragma once
 #include <map>
 #include <nlohmann/json_fwd.hpp>
@@ -38,11 +38,13 @@
     std::function<void(const List&)> listed;
     std::function<void()> lost;
   };
-  Discovery(Loop& loop, Counters& counters, std::string address, int descriptors, Heard heard);
+  Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits, Heard heard);
 
   void knows(std::int64_t version) { version_ = version; }
   void watch();  // from here on, until it is lost
   void fetch();  // the whole list, once
+  // Another place from now on: what is out at the old one is given up, the list there is asked for whole.
+  void move_to(const std::string& address);
 
   Starts starts;
 
@@ -58,10 +60,11 @@
   Loop& loop_;
   Counters& counters_;
   std::string address_;
-  int descriptors_;
+  const Limits& limits_;
   Heard heard_;
   std::int64_t version_ = 0;
   bool watching_ = false, fetching_ = false;  // wanted
+  bool anew_ = false;                         // nothing has come from this place yet
   bool out_ = false, stale_ = false;          // a call is out; on a connection that served an earlier one
   Tenths called_at_ = 0;
   Socket socket_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,7 +25,6 @@
 constexpr double kOwnPart = 1.0 / 5;  // of a goal: what a message takes where nothing else is done
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr Tenths kHandOverTime = 10 * kSecond;
-constexpr Tenths kProbeSlack = 50 * kMs;  // over the time to connect, for a probe's answer
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
 
@@ -90,13 +89,9 @@
     : loop_(loop),
       configuration_(std::move(configuration)),
       settings_(settings_of(configuration_.env)),
-      groups_(configuration_.env.contains("/extra/groups"_json_pointer) &&
-              configuration_.env.at("/extra/groups"_json_pointer) == true),
-      shortest_goal_(static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0))),
       choice_(settings_, configuration_.seed, loop.now()),
       relay_(
-          loop, counters_, configuration_.descriptors,
-          static_cast<Tenths>(number(settings_, "connect_time", kSecond)),
+          loop, counters_, limits_,
           {[this](Ticket at, const Opening& opening) { came(at, opening); }, [this](Ticket at) { left(at); },
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
            [this](Ticket at, Tenths delay) {
@@ -107,7 +102,7 @@
              if (const Held* found = held(at))
                tell(EventKind::load_told, id_of(at), found->host).figure = load;
            }}),
-      discovery_(loop, counters_, configuration_.discovery, configuration_.descriptors,
+      discovery_(loop, counters_, configuration_.discovery, limits_,
                  {[this](const List& list) {
                     losses_ = 0;
                     listed(list, list.whole ? EventKind::list_whole : EventKind::list_changes);
@@ -117,15 +112,23 @@
                     tell(EventKind::list_lost);
                     subscribe();
                   }}),
-      probes_(loop, counters_, configuration_.descriptors,
-              static_cast<Tenths>(number(settings_, "connect_time", kSecond)) + kProbeSlack,
-              [this](const std::string& host, const Probes::Probed& probed) {
-                Event& event = tell(EventKind::probe_ended, "", host);
-                event.outcome = outcome_of(probed.end);
-                event.took = probed.took;
-                if (probed.answer_after > 0 && loop_.late() < kHeldUp)
-                  meters_[host].probed(loop_.now(), probed.answer_after);
-              }) {}
+      probes_(loop, counters_, limits_, [this](const std::string& host, const Probes::Probed& probed) {
+        Event& event = tell(EventKind::probe_ended, "", host);
+        event.outcome = outcome_of(probed.end);
+        event.took = probed.took;
+        if (probed.answer_after > 0 && loop_.late() < kHeldUp)
+          meters_[host].probed(loop_.now(), probed.answer_after);
+      }) {
+  take_settings();
+}
+
+void Node::take_settings() {
+  const nlohmann::json::json_pointer groups("/extra/groups");
+  groups_ = configuration_.env.contains(groups) && configuration_.env.at(groups) == true;
+  shortest_goal_ = static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0));
+  limits_.connect_time = static_cast<Tenths>(number(settings_, "connect_time", kSecond));
+  limits_.descriptors = configuration_.descriptors;
+}
 
 std::optional<std::string> Node::start() {
   List known;
@@ -329,6 +332,27 @@
   spdlog::info("stopping, connections open {}", relay_.open());
 }
 
+// Danger: half of a new configuration is neither the old nor the new one. What only a start can change (where
+// the node listens) refuses the file; the name, the seed and the list known before have no say any more.
+void Node::reload(const Read& read) {
+  ++counters_.reloads;
+  const std::string fault = !read.taken ? read.fault
+                            : read.taken->listen != configuration_.listen
+                                ? "'listen' can be changed by a restart only: " + read.taken->listen
+                                : "";
+  if (!fault.empty()) {
+    ++counters_.reloads_refused;
+    return spdlog::warn("configuration not taken, the old one goes on: {}", fault);
+  }
+  configuration_ = *read.taken;
+  configuration_.descriptors = descriptor_limit(configuration_.descriptors);
+  settings_ = settings_of(configuration_.env);
+  choice_.adopt(settings_);
+  take_settings();
+  discovery_.move_to(configuration_.discovery);
+  spdlog::info("configuration taken anew, discovery {}", configuration_.discovery);
+}
+
 // Danger: what is still held when the process is killed is lost; it ends by itself before that.
 bool Node::done() {
   if (!stopping_) return false;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,10 +3,10 @@
 // further try, a rejection or a move.
 #pragma once
 #include <deque>
-#include <nlohmann/json.hpp>
 #include <unordered_map>
 
 #include "../choice.h"
+#include "configuration.h"
 #include "counters.h"
 #include "discovery.h"
 #include "probes.h"
@@ -14,13 +14,6 @@
 
 namespace dapplewharf {
 
-struct Configuration {
-  std::string name, listen, discovery;
-  std::uint64_t seed = 0;
-  int descriptors = 1024;
-  nlohmann::json known, env;  // the list as last had; the settings
-};
-
 // How long a message takes at a host. Lines are measured on all connections to it; a probe waits there like
 // any work, and what it takes over the least that one took is time that the host made it wait.
 class Meter {
@@ -47,6 +40,7 @@
   std::optional<std::string> start();  // what went wrong, if anything
   void settle();                       // lets the module see what happened in this turn
   void stop();                         // SIGTERM
+  void reload(const Read& read);       // SIGHUP: whole or not at all
   bool done();                         // may end
   void report() const;                 // the counters, to the log
 
@@ -68,6 +62,7 @@
   void act(const Action& action);
   void answer(const std::string& id, const std::string& line);
   void subscribe();
+  void take_settings();                                // what the configuration in force says, for all parts
   Tenths ends_by() const;                              // once it is stopping, at the latest
   std::string address(const std::string& host) const;  // as discovery last told it; empty where it did not
   Event& tell(EventKind kind, const std::string& id = "", const std::string& host = "");
@@ -77,6 +72,7 @@
   Counters counters_;
   Configuration configuration_;
   Settings settings_;
+  Limits limits_;
   bool groups_ = false, stopping_ = false;
   Tenths stopped_at_ = 0, shortest_goal_ = 0, looked_at_ = 0;
   int losses_ = 0;
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -1,18 +1,17 @@
 #include "probes.h"
 
+#include "../notes.h"
+
 namespace dapplewharf {
 namespace {
 
 const std::string kPing = "PING\r\n";
+constexpr Tenths kProbeSlack = 50 * kMs;  // over the time to connect, for a probe's answer
 
 }  // namespace
 
-Probes::Probes(Loop& loop, Counters& counters, int descriptors, Tenths patience, Told told)
-    : loop_(loop),
-      counters_(counters),
-      descriptors_(descriptors),
-      patience_(patience),
-      told_(std::move(told)) {}
+Probes::Probes(Loop& loop, Counters& counters, const Limits& limits, Told told)
+    : loop_(loop), counters_(counters), limits_(limits), told_(std::move(told)) {}
 
 void Probes::probe(const std::string& host, const std::string& address) {
   Line& line = lines_[host];
@@ -22,7 +21,7 @@
   line.since = loop_.now();
   line.sent = 0;
   line.in.clear();
-  loop_.at(line.deadline, loop_.now() + patience_, [this, host] {
+  loop_.at(line.deadline, loop_.now() + limits_.connect_time + kProbeSlack, [this, host] {
     const auto found = lines_.find(host);
     if (found != lines_.end()) over(host, found->second, Cause::time_out, false);
   });
@@ -49,7 +48,7 @@
   line.stale = false;
   line.sent = 0;
   const auto to = address_of(line.address);
-  const Dial dialled = to ? dial(*to, descriptors_, kLastOnes, line.socket) : Dial::refused;
+  const Dial dialled = to ? dial(*to, limits_.descriptors, kLastOnes, line.socket) : Dial::refused;
   if (dialled != Dial::begun)
     return over(host, line, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor, false);
   line.watched = loop_.watch(line.socket.number(), POLLOUT, [this, host](short) { ready(host); });
--- a/src/node/probes.h
+++ b/src/node/probes.h
@@ -16,7 +16,7 @@
     Tenths answer_after = 0;  // from when its last byte was written; 0 where no answer came
   };
   using Told = std::function<void(const std::string& host, const Probed& probed)>;
-  Probes(Loop& loop, Counters& counters, int descriptors, Tenths patience, Told told);
+  Probes(Loop& loop, Counters& counters, const Limits& limits, Told told);
 
   void probe(const std::string& host, const std::string& address);
   void forget(const std::string& host);  // ends what is out, and its connection
@@ -39,8 +39,7 @@
 
   Loop& loop_;
   Counters& counters_;
-  int descriptors_;
-  Tenths patience_;
+  const Limits& limits_;
   Told told_;
   std::map<std::string, Line> lines_;
 };
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -22,11 +22,10 @@
 
 }  // namespace
 
-Relay::Relay(Loop& loop, Counters& counters, int descriptors, Tenths connect_time, Heard heard)
+Relay::Relay(Loop& loop, Counters& counters, const Limits& limits, Heard heard)
     : loop_(loop),
       counters_(counters),
-      descriptors_(descriptors),
-      connect_time_(connect_time),
+      limits_(limits),
       heard_(std::move(heard)),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
 
@@ -48,7 +47,7 @@
     const int on = 1;
     setsockopt(taken.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     // Danger: with all descriptors taken clients would hang unheard; the last ones serve to turn them away.
-    if (taken.number() >= descriptors_ - kKeptBack / 2) {
+    if (taken.number() >= limits_.descriptors - kKeptBack / 2) {
       turn_away(taken);
       continue;
     }
@@ -170,13 +169,14 @@
   link->reach = Reach::not_connected;
   link->first.clear();
   link->try_until = loop_.now() + time_out;
-  const Dial dialled = address ? dial(*address, descriptors_, kKeptBack, link->host.socket) : Dial::refused;
+  const Dial dialled =
+      address ? dial(*address, limits_.descriptors, kKeptBack, link->host.socket) : Dial::refused;
   if (dialled != Dial::begun)
     return end_try(ticket, *link, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor);
   link->host.watched = loop_.watch(link->host.socket.number(), POLLOUT,
                                    [this, ticket](short) { guarded(ticket, &Relay::host_ready); });
   const Tenths connect_until =
-      std::min(link->try_until, loop_.now() + (connect_time > 0 ? connect_time : connect_time_));
+      std::min(link->try_until, loop_.now() + (connect_time > 0 ? connect_time : limits_.connect_time));
   times_out(ticket, *link, connect_until);
 }
 
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -40,7 +40,7 @@
     std::function<void(Ticket, Tenths)> line_back;
     std::function<void(Ticket, double)> load_told;
   };
-  Relay(Loop& loop, Counters& counters, int descriptors, Tenths connect_time, Heard heard);
+  Relay(Loop& loop, Counters& counters, const Limits& limits, Heard heard);
 
   std::optional<std::string> listen(const sockaddr_in& at);
   void try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
@@ -113,8 +113,7 @@
 
   Loop& loop_;
   Counters& counters_;
-  int descriptors_;
-  Tenths connect_time_;
+  const Limits& limits_;
   Heard heard_;
   Socket listener_, spare_;
   Slots<Link> links_;
--- a/src/node/socket.h
+++ b/src/node/socket.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <utility>
 
+#include "../words.h"
+
 namespace dapplewharf {
 
 constexpr int kKeptBack = 16;  // descriptors that no setup try takes, so that clients get an answer
@@ -16,6 +18,12 @@
 std::optional<sockaddr_in> address_of(const std::string& text);  // a.b.c.d:port
 int descriptor_limit(int wanted);  // sets the process's limit as near to `wanted` as may be; returns it
 
+// What a configuration says of descriptors and connecting. One holds for all parts of a node.
+struct Limits {
+  int descriptors = 1024;
+  Tenths connect_time = 0;
+};
+
 class Socket {
  public:
   Socket() = default;
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -160,12 +160,13 @@
 struct Net {
   Loop loop;
   std::unique_ptr<Node> node;
+  Configuration told;
   Socket hosts, discovery, call;
   std::vector<Socket> made;
   std::deque<std::string> answers;
   std::string asked;
   int calls = 0;  // connections that discovery took
-  sockaddr_in front{};
+  sockaddr_in front{}, hosts_at{}, discovery_at{};
 
   static std::string text_of(const sockaddr_in& at) {
     return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
@@ -184,13 +185,15 @@
   }
 
   explicit Net(int descriptors = 1024) {
-    const std::string at = text_of(listening(hosts));
+    hosts_at = listening(hosts);
+    const std::string at = text_of(hosts_at);
     nlohmann::json list = nlohmann::json::array();
     for (const char* id : {"h0", "h1", "h2", "h3"})
       list.push_back({{"instanceId", id}, {"hostPort", at}, {"zone", "near"}, {"lifecycle", "up"}});
-    Configuration to;
+    Configuration& to = told;
     to.descriptors = descriptors;
-    to.discovery = text_of(listening(discovery));
+    discovery_at = listening(discovery);
+    to.discovery = text_of(discovery_at);
     {
       Socket free;
       front = listening(free);
@@ -206,6 +209,15 @@
     EXPECT_FALSE(node->start());
   }
 
+  // SIGHUP with a file that names a discovery of its own.
+  void moves_discovery() {
+    discovery_at = listening(discovery);
+    told.discovery = text_of(discovery_at);
+    call.close();
+    asked.clear();
+    node->reload({told, ""});
+  }
+
   void turn() {
     loop.turn(50);
     node->settle();
