--- a/src/node/counters.cpp
+++ b/src/node/counters.cpp
@@ -6,14 +6,15 @@
 
 std::string Counters::told() const {
   return fmt::format(
-      "counters taken-in accepted={} greeted={} attachments={} handed-over={} malformed={} lists={} "
+      "counters taken-in accepted={} greeted={} attachments={} handed-over={} malformed={} evicted={} "
+      "lists={} "
       "lists-lost={} reloads={} reloads-refused={}"
       " | sent tries={} written={} probes={} list-calls={} bytes-to-hosts={} bytes-to-clients={}"
       " | tries up={} error={} turned-away={} unanswered={} not-connected={} lost={} ended={} cancelled={}"
       " not-sent={} | answered honoured={} rejected={} scrapped={} moved={} left={} overdue={} "
       "no-descriptor={}",
-      accepted, greeted, taken, handed_over, malformed, lists, lists_lost, reloads, reloads_refused, tries,
-      tries_written, probes, list_calls, bytes_to_hosts, bytes_to_clients, up, errors, turned_away,
+      accepted, greeted, taken, handed_over, malformed, evicted, lists, lists_lost, reloads, reloads_refused,
+      tries, tries_written, probes, list_calls, bytes_to_hosts, bytes_to_clients, up, errors, turned_away,
       unanswered, not_connected, lost, ended, cancelled, not_sent, honoured, rejected, scrapped, moved, left,
       overdue, no_descriptor);
 }
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -8,7 +8,7 @@
 
 struct Counters {
   // taken in
-  std::uint64_t accepted = 0, greeted = 0, taken = 0, handed_over = 0, malformed = 0, lists = 0,
+  std::uint64_t accepted = 0, greeted = 0, taken = 0, handed_over = 0, malformed = 0, evicted = 0, lists = 0,
                 lists_lost = 0, reloads = 0, reloads_refused = 0;
   // sent
   std::uint64_t tries = 0, tries_written = 0, probes = 0, list_calls = 0, bytes_to_hosts = 0,
--- a/src/node/http.cpp
+++ b/src/node/http.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::size_t kLongestHead = 16 * 1024;
-constexpr std::size_t kLargestBody = 4 * 1024 * 1024;
+// Some 1,500 hosts. Danger: parsed, a list takes up to twenty times its size of a node that has 32 MB.
+constexpr std::size_t kLargestBody = 256 * 1024;
 
 std::string lower(std::string_view text) {
   std::string out(text);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -91,7 +91,7 @@
       settings_(settings_of(configuration_.env)),
       choice_(settings_, configuration_.seed, loop.now()),
       relay_(
-          loop, counters_, limits_,
+          loop, counters_, limits_, grammar_,
           {[this](Ticket at, const Opening& opening) { came(at, opening); }, [this](Ticket at) { left(at); },
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
            [this](Ticket at, Tenths delay) {
@@ -128,6 +128,14 @@
   shortest_goal_ = static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0));
   limits_.connect_time = static_cast<Tenths>(number(settings_, "connect_time", kSecond));
   limits_.descriptors = configuration_.descriptors;
+  grammar_ = {};
+  for (int i = 0; settings_.count("traffic." + std::to_string(i) + ".name"); ++i) {
+    const std::string at = "traffic." + std::to_string(i) + ".";
+    grammar_.traffic[text(settings_, at + "name")] =
+        static_cast<Tenths>(number(settings_, at + "expiry", static_cast<double>(INT64_MAX / 2)));
+  }
+  for (int i = 0; settings_.count("tenant." + std::to_string(i) + ".name"); ++i)
+    grammar_.tenants.insert(text(settings_, "tenant." + std::to_string(i) + ".name"));
 }
 
 std::optional<std::string> Node::start() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -73,6 +73,7 @@
   Configuration configuration_;
   Settings settings_;
   Limits limits_;
+  Grammar grammar_;
   bool groups_ = false, stopping_ = false;
   Tenths stopped_at_ = 0, shortest_goal_ = 0, looked_at_ = 0;
   int losses_ = 0;
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 #include "../notes.h"
@@ -12,20 +13,27 @@
 namespace dapplewharf {
 namespace {
 
-constexpr std::size_t kBuffer = 16 * 1024;      // bytes held for one side before the other is no longer read
-constexpr Tenths kGreetingTime = 10 * kSecond;  // for a first line to come whole
-constexpr Tenths kKnownTime = 60 * kSecond;     // for the next, from one that has sent PING
-constexpr Tenths kClosingTime = kSecond;        // for the last bytes to be taken
-constexpr Tenths kLinger = 5 * kSecond;         // a half-closed connection on which nothing comes
-constexpr Tenths kHostEnded = 800 * kMs;        // for the client to end what its host has ended
+constexpr std::size_t kBuffer = 8 * 1024;      // bytes held for one side before the other is no longer read
+constexpr Tenths kGreetingTime = 2 * kSecond;  // for a first line to come whole; three are allowed
+constexpr Tenths kKnownTime = 60 * kSecond;    // for the next, from one that has sent PING
+constexpr int kSilentPart = 8;                 // of the descriptors: those that have not said what they want
+constexpr int kAtOnce = 32;                    // accepted in a turn, so that others have theirs
+constexpr int kPingsAtOnce = 4;                // more in one go are a flood
+constexpr std::size_t kPoured = 64 * 1024;     // taken from one that is told to go, so that it reads why
+constexpr std::size_t kIdsKept = 4096;         // of clients that were held lately
+constexpr int kLoggedASecond = 5;
+constexpr Tenths kClosingTime = kSecond;  // for the last bytes to be taken
+constexpr Tenths kLinger = 5 * kSecond;   // a half-closed connection on which nothing comes
+constexpr Tenths kHostEnded = 800 * kMs;  // for the client to end what its host has ended
 constexpr std::size_t kHeadKept = 32;
 
 }  // namespace
 
-Relay::Relay(Loop& loop, Counters& counters, const Limits& limits, Heard heard)
+Relay::Relay(Loop& loop, Counters& counters, const Limits& limits, const Grammar& grammar, Heard heard)
     : loop_(loop),
       counters_(counters),
       limits_(limits),
+      grammar_(grammar),
       heard_(std::move(heard)),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
 
@@ -36,7 +44,7 @@
 }
 
 void Relay::accept_all() {
-  for (int i = 0; i < 256; ++i) {
+  for (int i = 0; i < kAtOnce; ++i) {
     Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!taken) {
       if (errno == EMFILE || errno == ENFILE) turn_away_one();
@@ -46,8 +54,10 @@
     ++counters_.accepted;
     const int on = 1;
     setsockopt(taken.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const bool crowded = silent_.size() >= static_cast<std::size_t>(limits_.descriptors / kSilentPart);
+    if (crowded || Socket::short_of(limits_.descriptors, kKeptBack / 2)) evict_one();
     // Danger: with all descriptors taken clients would hang unheard; the last ones serve to turn them away.
-    if (taken.number() >= limits_.descriptors - kKeptBack / 2) {
+    if (Socket::short_of(limits_.descriptors, kKeptBack / 2)) {
       turn_away(taken);
       continue;
     }
@@ -58,10 +68,41 @@
     Link& held = *links_.find(ticket);
     held.client.watched =
         loop_.watch(descriptor, POLLIN, [this, ticket](short) { guarded(ticket, &Relay::client_ready); });
-    loop_.at(held.deadline, loop_.now() + kGreetingTime, [this, ticket] { drop(ticket); });
+    loop_.at(held.deadline, loop_.now() + kGreetingTime, [this, ticket] {
+      Link* late = links_.find(ticket);
+      if (late && !late->early.empty()) refuse(ticket, *late, "half a line");
+      else drop(ticket);
+    });
+    silent_.push_back(ticket);
+    guarded(ticket,
+            &Relay::client_ready);  // its line may have come with it: then it is not one of the silent
   }
 }
 
+// Danger: hundreds that connect and say nothing, or PING once, take every descriptor. A usual client sends
+// its line at once, so the longest silent gives way, after one more look at whether it has spoken meanwhile.
+void Relay::evict_one() {
+  while (!silent_.empty()) {
+    const Ticket ticket = silent_.front();
+    guarded(ticket, &Relay::client_ready);
+    if (silent_.empty() || !(silent_.front() == ticket)) continue;
+    ++counters_.evicted;
+    links_.find(ticket)->client.socket.send("BUSY\r\n", 6);
+    return drop(ticket);
+  }
+}
+
+bool Relay::may_log() {
+  if (loop_.now() - logged_at_ >= kSecond) logged_at_ = loop_.now(), logged_ = 0;
+  return ++logged_ <= kLoggedASecond;  // danger: a flood of bad lines takes the log; the counter has them all
+}
+
+void Relay::refuse(Ticket ticket, Link& link, const std::string& fault) {
+  ++counters_.malformed;
+  if (may_log()) spdlog::warn("client's first line is malformed: {}", fault);
+  close_after(ticket, link, "ERR\r\n");
+}
+
 void Relay::turn_away(const Socket& taken) {
   ++counters_.no_descriptor;
   taken.send("BUSY\r\n", 6);
@@ -110,19 +151,25 @@
     std::string ignored;
     bool ended = false;
     const auto got = client.socket.receive(ignored, kBuffer, ended);
-    if (!got || ended) return drop(ticket);
+    // Danger: one that pours on at full speed would cost turns for as long as it is heard out.
+    link->poured += got.value_or(0);
+    if (!got || ended || link->poured > kPoured) return drop(ticket);
     return flush_closing(ticket, *link);
   }
   bool ended = false;
   const auto got = client.socket.receive(link->early, 2 * kLongestLine - link->early.size(), ended);
   if (got && !ended) {
     if (link->phase == Phase::greeting) return greet(ticket, *link);
-    if (link->early.size() >= kLongestLine) loop_.want(client.watched, 0);  // no more until it stands
-    return;
+    if (link->early.empty()) return;
+    // Danger: commands poured in behind the first one, which would reach the host of that one. A client
+    // waits.
+    heard_.client_left(ticket);
+    end_try(ticket, *link, Cause::client);
+    return refuse(ticket, *link, "more before its answer");
   }
   if (link->phase == Phase::greeting) {
-    if (!link->early.empty()) ++counters_.malformed;
-    return drop(ticket);
+    if (link->early.empty() || !got) return drop(ticket);
+    return refuse(ticket, *link, "half a line");
   }
   // The client has gone, or ends its sending: it gets an answer in case it still listens.
   ++counters_.left;
@@ -133,26 +180,33 @@
 }
 
 void Relay::greet(Ticket ticket, Link& link) {
-  for (;;) {
+  for (int pings = 0;; ++pings) {
     const std::size_t end = link.early.find('\n');
     const bool long_one = end == std::string::npos ? link.early.size() >= kLongestLine : end >= kLongestLine;
     if (end == std::string::npos && !long_one) return;
     const std::string line = long_one ? "" : link.early.substr(0, end + 1);
-    if (word_of(line) == Word::ping) {
+    if (word_of(line) == Word::ping && pings < kPingsAtOnce) {
       ++counters_.greeted;
       link.early.erase(0, end + 1);
       link.client.socket.send("PONG\r\n", 6);
       loop_.at(link.deadline, loop_.now() + kKnownTime, [this, ticket] { drop(ticket); });
+      std::erase(silent_, ticket);
+      silent_.push_back(ticket);
       continue;
     }
-    Opened opened = opening_of(line);
-    if (!opened.opening) {
-      ++counters_.malformed;
-      spdlog::warn("client's first line is malformed: {}", long_one ? "too long" : opened.fault);
-      return close_after(ticket, link, "ERR\r\n");
-    }
-    link.early.erase(0, end + 1);
+    Opened opened = opening_of(line, grammar_);
+    if (long_one) opened.fault = "too long";
+    // Danger: the id of another client's open attachment makes hosts turn away what they would have served,
+    // and look sick. Ids are new with every connection, so one that was held lately is not free either.
+    if (opened.opening && (ids_.count(opened.opening->id) ||
+                           std::find(ended_.begin(), ended_.end(), opened.opening->id) != ended_.end()))
+      opened = {std::nullopt, "an id that is taken"};
+    if (opened.opening && end + 1 < link.early.size()) opened = {std::nullopt, "more behind it"};
+    if (!opened.opening) return refuse(ticket, link, opened.fault);
+    link.early.clear();
     link.opening = std::move(*opened.opening);
+    ids_.insert(link.opening.id);
+    std::erase(silent_, ticket);
     link.phase = Phase::waiting;
     loop_.cancel(link.deadline);
     ++counters_.taken;
@@ -169,6 +223,7 @@
   link->reach = Reach::not_connected;
   link->first.clear();
   link->try_until = loop_.now() + time_out;
+  if (Socket::short_of(limits_.descriptors, kKeptBack)) evict_one();
   const Dial dialled =
       address ? dial(*address, limits_.descriptors, kKeptBack, link->host.socket) : Dial::refused;
   if (dialled != Dial::begun)
@@ -239,7 +294,8 @@
   if (word == Word::busy) return end_try(ticket, link, Cause::busy);
   if (word == Word::error) return end_try(ticket, link, Cause::error);
   if (word != Word::up || link.reach != Reach::written) {
-    spdlog::warn("a host answered nonsense: {}", link.first.substr(0, std::min<std::size_t>(end, 80)));
+    if (may_log())
+      spdlog::warn("a host answered nonsense: {}", link.first.substr(0, std::min<std::size_t>(end, 80)));
     return end_try(ticket, link, Cause::nonsense);
   }
   loop_.cancel(link.deadline);
@@ -250,12 +306,11 @@
   ++counters_.honoured;
   link.client.out = std::exchange(link.first, {});
   link.whole = end + 1;
-  link.host.out = std::exchange(link.early, {});
+  link.opening.line = {};  // no further try
   link.host.in_ended = ended;
   if (ended) set_linger(ticket);
   heard_.up(ticket);
   if (!links_.find(ticket) || link.phase != Phase::relaying) return;
-  from_client(link, 0);
   from_host(ticket, link, end + 1);
   if (link.phase == Phase::relaying) settle(ticket, link);
 }
@@ -306,12 +361,18 @@
   heard_.line_back(ticket, loop_.now() - std::exchange(link.asked_at, 0));
 }
 
-// Sends what may go to a side; false when that side is broken. A client is sent whole lines, so that MOVE can
-// always stand between two, but for lines longer than the protocol's and for what comes before an end.
+// A client is sent whole lines, so that MOVE can always stand between two, but for lines longer than the
+// protocol's and for what comes before an end.
+std::size_t Relay::may_go(const Link& link) {
+  const std::size_t all = link.client.out.size();
+  const bool long_one = all - link.whole >= kLongestLine || (link.within_line && link.whole == 0);
+  return link.host.in_ended || long_one ? all : link.whole;
+}
+
+// Sends what may go to a side; false when that side is broken.
 bool Relay::flush(Link& link, Side& side, const Side& other) {
   const bool to_client = &side == &link.client;
-  std::size_t may = side.out.size();
-  if (to_client && !other.in_ended && may - link.whole < kLongestLine) may = link.whole;
+  const std::size_t may = to_client ? may_go(link) : side.out.size();
   if (may > 0) {
     const auto given = side.socket.send(side.out.data(), may);
     if (!given) return false;
@@ -340,9 +401,7 @@
     return static_cast<short>((!side.in_ended && other.out.size() < kBuffer ? POLLIN : 0) |
                               (sends ? POLLOUT : 0));
   };
-  const bool to_client = link.whole > 0 || link.client.out.size() >= kLongestLine ||
-                         (link.host.in_ended && !link.client.out.empty());
-  loop_.want(link.client.watched, events(link.client, link.host, to_client));
+  loop_.want(link.client.watched, events(link.client, link.host, may_go(link) > 0));
   loop_.want(link.host.watched, events(link.host, link.client, !link.host.out.empty()));
 }
 
@@ -407,6 +466,7 @@
 // Danger: closing at once would reset the connection when bytes lie unread, and the answer would be lost.
 void Relay::close_after(Ticket ticket, Link& link, const std::string& line) {
   link.phase = Phase::closing;
+  std::erase(silent_, ticket);
   drop_host(link);
   link.early.clear();
   link.client.out += line;
@@ -435,6 +495,9 @@
   loop_.cancel(link->deadline);
   loop_.unwatch(link->client.watched);
   loop_.unwatch(link->host.watched);
+  std::erase(silent_, ticket);
+  if (ids_.erase(link->opening.id) > 0) ended_.push_back(std::move(link->opening.id));
+  if (ended_.size() > kIdsKept) ended_.pop_front();
   links_.drop(ticket);
 }
 
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -3,6 +3,8 @@
 // deadline. Tells the node what happened and does what it is told; never chooses a host, a further try or an
 // answer.
 #pragma once
+#include <deque>
+
 #include "counters.h"
 #include "lines.h"
 #include "loop.h"
@@ -40,7 +42,7 @@
     std::function<void(Ticket, Tenths)> line_back;
     std::function<void(Ticket, double)> load_told;
   };
-  Relay(Loop& loop, Counters& counters, const Limits& limits, Heard heard);
+  Relay(Loop& loop, Counters& counters, const Limits& limits, const Grammar& grammar, Heard heard);
 
   std::optional<std::string> listen(const sockaddr_in& at);
   void try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
@@ -71,7 +73,7 @@
     Phase phase = Phase::greeting;
     Side client, host;
     Loop::Deadline deadline;
-    std::string early;  // what the client sent: its first line, then what came before the connection stood
+    std::string early;  // what the client sent, up to its first line
     Opening opening;
     bool try_out = false;
     Reach reach = Reach::not_connected;
@@ -84,10 +86,14 @@
     bool within_line = false;  // the client has the start of a line whose end has not come
     bool moves = false;        // to be moved at the end of that line
     bool client_first = false;
-    Tenths flowed = 0;  // when bytes last came
+    Tenths flowed = 0;       // when bytes last came
+    std::size_t poured = 0;  // what came while it is told to go
   };
 
   void accept_all();
+  void evict_one();
+  void refuse(Ticket ticket, Link& link, const std::string& fault);
+  bool may_log();
   void turn_away(const Socket& taken);
   void turn_away_one();
   void client_ready(Ticket ticket);
@@ -102,6 +108,7 @@
   void from_host(Ticket ticket, Link& link, std::size_t from);
   void host_line(Ticket ticket, Link& link);
   void settle(Ticket ticket, Link& link);
+  static std::size_t may_go(const Link& link);  // to the client
   bool flush(Link& link, Side& side, const Side& other);
   void broke(Ticket ticket, Link& link, Side& other);
   void finished(Ticket ticket, Link& link);
@@ -114,9 +121,15 @@
   Loop& loop_;
   Counters& counters_;
   const Limits& limits_;
+  const Grammar& grammar_;
   Heard heard_;
   Socket listener_, spare_;
   Slots<Link> links_;
+  std::deque<Ticket> silent_;      // those that have not said what they want, the longest silent first
+  std::set<std::string> ids_;      // of clients that are held
+  std::deque<std::string> ended_;  // and of the last ones that were
+  Tenths logged_at_ = 0;           // bad clients' lines in the log, of one second
+  int logged_ = 0;
 };
 
 }  // namespace dapplewharf
--- a/src/node/socket.cpp
+++ b/src/node/socket.cpp
@@ -43,7 +43,7 @@
 }
 
 void Socket::close() {
-  if (descriptor_ >= 0) ::close(descriptor_);
+  if (descriptor_ >= 0) ::close(descriptor_), --held_;
   descriptor_ = -1;
 }
 
@@ -84,9 +84,8 @@
 
 Dial dial(const sockaddr_in& to, int limit, int kept_back, Socket& socket) {
   Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  // Danger: tries that take the last descriptors leave none to tell clients so. The kernel hands out the
-  // lowest free number, so a high one tells that few are left.
-  if (!made || made.number() >= limit - kept_back) return Dial::no_descriptor;
+  // Danger: tries that take the last descriptors leave none to tell clients so.
+  if (!made || Socket::short_of(limit, kept_back)) return Dial::no_descriptor;
   const int on = 1;
   setsockopt(made.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   const int done = connect(made.number(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
--- a/src/node/socket.h
+++ b/src/node/socket.h
@@ -27,7 +27,7 @@
 class Socket {
  public:
   Socket() = default;
-  explicit Socket(int descriptor) : descriptor_(descriptor) {}
+  explicit Socket(int descriptor) : descriptor_(descriptor) { held_ += descriptor >= 0 ? 1 : 0; }
   Socket(Socket&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
   Socket& operator=(Socket&& other) noexcept {
     std::swap(descriptor_, other.descriptor_);
@@ -46,7 +46,13 @@
   std::optional<std::size_t> send(const char* bytes, std::size_t size) const;
   bool connected() const;  // asked once poll says that it is writable
 
+  // Whether at most `kept_back` of the process's `limit` descriptors are left. Danger: the number of a new
+  // one tells this only while no lower one is free.
+  static bool short_of(int limit, int kept_back) { return held_ + kOthers >= limit - kept_back; }
+
  private:
+  static constexpr int kOthers = 7;  // the three standard ones, the signals' pipe, and a file being read
+  inline static int held_ = 0;
   int descriptor_ = -1;
 };
 
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -10,24 +10,56 @@
 
 using namespace dapplewharf;
 
+const Grammar kGrammar{{{"chat", 20000}}, {"acme"}};
+
 TEST(Lines, AFirstLineGivesWhatDecisionsNeedAndOnlyDChanges) {
   const std::string line =
       "OPEN 9b1f03aa5c7e2d41 00000000000000ff c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59,again=1,h=3.5\r\n";
-  const Opened opened = opening_of(line);
+  const Opened opened = opening_of(line, kGrammar);
   ASSERT_TRUE(opened.opening) << opened.fault;
   EXPECT_EQ(opened.opening->traffic_type, "chat");
+  EXPECT_EQ(opened.opening->id, "9b1f03aa5c7e2d41");
   EXPECT_EQ(opened.opening->key, 255);
   EXPECT_EQ(opened.opening->wait, 20000);
   EXPECT_TRUE(opened.opening->returned);
   std::string changed = line;
   EXPECT_EQ(with_wait(*opened.opening, 1234), changed.replace(line.find("2000"), 4, "123"));
+  EXPECT_TRUE(opening_of("OPEN 1 2 c=chat,t=acme,d=4294967,at=s-1\r\n", kGrammar).opening);
 }
 
-TEST(Lines, AMalformedFirstLineIsNamed) {
-  for (const char* bad :
-       {"", "\r\n", "HELLO\n", "OPEN\n", "OPEN a\n", "OPEN a b\n", "OPEN a b c=x\n", "OPEN a b d=1\n",
-        "OPEN a b c=x,d=soon\n", "OPEN a b c=x,d=-1\n", "OPEN a b c=x,d=1e99\n", "OPEN a b ,,,==\n"})
-    EXPECT_FALSE(opening_of(bad).fault.empty()) << bad;
+TEST(Lines, AFirstLineOfWhichAnyPartIsWrongIsRefusedAndNamed) {
+  for (const char* bad : {"",
+                          "HELLO",
+                          "OPEN",
+                          "OPEN a",
+                          "OPEN a b",
+                          "OPEN a b c=chat,t=acme",
+                          "OPEN a b t=acme,d=1",
+                          "OPEN a b c=chat,t=acme,d=soon",
+                          "OPEN a b c=chat,t=acme,d=-1",
+                          "OPEN a b c=chat,t=acme,d=",
+                          "OPEN a b c=chat,t=acme,d=1e3",
+                          "OPEN a b c=chat,t=acme,d=inf",
+                          "OPEN a b c=chat,t=acme,d=0",
+                          "OPEN a b c=chat,t=acme,d=2001",
+                          "OPEN a b c=chat,t=acme,d=999999999",
+                          "OPEN a b c=chats,t=acme,d=9",
+                          "OPEN a b c=chat,t=other,d=9",
+                          "OPEN a b c=chat,d=9",
+                          "OPEN a b ,,,==",
+                          "OPEN a b c=chat,t=acme,d=9,",
+                          "OPEN a c=chat,t=acme,d=9",
+                          "OPEN  a b c=chat,t=acme,d=9",
+                          "OPEN a b c=chat,t=acme,d=9 more",
+                          "OPEN a b c=chat,t=acme,d=9,d=8",
+                          "OPEN a b c=chat,t=acme,d=9,g=xyz",
+                          "OPEN a b c=chat,t=acme,d=9,h",
+                          "OPEN a b c=chat,t=acme,d=9,again=yes",
+                          "OPEN a\x01 b c=chat,t=acme,d=9",
+                          "open a b c=chat,t=acme,d=9"})
+    EXPECT_FALSE(opening_of(std::string(bad) + "\r\n", kGrammar).fault.empty()) << bad;
+  EXPECT_FALSE(opening_of("OPEN a b c=chat,t=acme,d=9\n", kGrammar).fault.empty()) << "a line ends with CRLF";
+  EXPECT_TRUE(opening_of("OPEN a b c=chat,t=acme,d=9\r\n", kGrammar).fault.empty());
 }
 
 TEST(Http, AnAnswerMayComeByteByByteWholeChunkedOrCutOff) {
@@ -99,15 +131,18 @@
 
 namespace {
 
-const std::string kOpen = "OPEN 1f 2e c=plain,t=x,d=2000,g=3d\r\n";
+std::string opening(const std::string& more = "") {  // a client's own, with an id that is new
+  static int last = 0;
+  return "OPEN 1f" + std::to_string(++last) + " 2e c=plain,t=x,d=2000,g=3d" + more + "\r\n";
+}
 
 }  // namespace
 
 TEST(Node, AConnectionIsServedAndItsBytesPassUnchanged) {
   Net net;
-  const int client = net.client("PING\r\n" + kOpen);
+  const int client = net.client("PING\r\n" + opening());
   const int host = net.host_accepts();
-  EXPECT_EQ(net.read(host).substr(0, 25), "OPEN 1f 2e c=plain,t=x,d=");
+  EXPECT_NE(net.read(host).find(" 2e c=plain,t=x,d="), std::string::npos);
   net.write(host, "UP abc\r\nfirst\r\n");
   EXPECT_EQ(net.read(client), "PONG\r\nUP abc\r\nfirst\r\n");
   const std::string large(70000, 'x');
@@ -125,7 +160,7 @@
 
 TEST(Node, ATurnedAwayTryGoesOnAndTheLastIsAnsweredBusyAtOnce) {
   Net net;
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   for (int i = 0; i < 4; ++i) {
     const int host = net.host_accepts();
     net.read(host);
@@ -137,7 +172,7 @@
 
 TEST(Node, NonsenseFromAHostCostsOnlyItsTry) {
   Net net;
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   for (const std::string& nonsense :
        {std::string("HTTP/1.1 400 Bad\r\n"), std::string(9000, 'x'), std::string("UP no e")}) {
     const int host = net.host_accepts();
@@ -152,7 +187,7 @@
 TEST(Node, BadInputFromAClientCostsItsConnectionOnly) {
   Net net;
   const int malformed = net.client("GET / HTTP/1.1\r\n"), endless = net.client(std::string(6000, 'x')),
-            fine = net.client(kOpen);
+            fine = net.client(opening());
   EXPECT_EQ(net.read(malformed), "ERR\r\n");
   EXPECT_TRUE(net.ended(malformed));
   EXPECT_EQ(net.read(endless), "ERR\r\n");
@@ -162,7 +197,7 @@
 
 TEST(Node, AResetIsPassedOnAsOne) {
   Net net;
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   const int host = net.host_accepts();
   net.write(host, "UP x\r\n");
   net.read(client);
@@ -172,7 +207,7 @@
 
 TEST(Node, AClientThatLeavesWhileItWaitsEndsItsTry) {
   Net net;
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   const int host = net.host_accepts();
   net.read(host);
   net.reset(client);
@@ -181,12 +216,12 @@
 
 TEST(Node, AtSigtermStandingClientsAreMovedBetweenLinesAndTheNodeEnds) {
   Net net;
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   const int host = net.host_accepts();
   net.write(host, "UP x\r\nwhole\r\nhal");
   EXPECT_EQ(net.read(client), "UP x\r\nwhole\r\n");
   net.node->stop();
-  const int late = net.client(kOpen);
+  const int late = net.client(opening());
   net.write(net.host_accepts(), "UP late\r\n");
   EXPECT_EQ(net.read(late), "UP late\r\n");
   EXPECT_EQ(net.read(client, 6, 2000), "MOVE\r\n");
@@ -201,7 +236,7 @@
 
 TEST(Node, AConnectionWhoseLinesStayUnansweredIsMoved) {
   Net net;
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   net.write(net.host_accepts(), "UP x\r\n");
   net.read(client);
   net.write(client, "hello\r\n");
@@ -213,14 +248,14 @@
   net.answers = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Net::http("garbage"),
                  Net::http(R"({"generation":2,"reset":true,"instances":[]})")};
   EXPECT_TRUE(net.until([&] { return net.answers.empty(); }, 5000));
-  const int client = net.client(kOpen);
+  const int client = net.client(opening());
   EXPECT_EQ(net.read(client).substr(0, 4), "BUSY");
 }
 
 TEST(Node, OutOfDescriptorsEveryClientStillGetsAnAnswer) {
   Net net(64);
   std::vector<int> clients;
-  for (int i = 0; i < 60; ++i) clients.push_back(net.client(kOpen));
+  for (int i = 0; i < 60; ++i) clients.push_back(net.client(opening()));
   for (const int client : clients) EXPECT_EQ(net.read(client, 4, 3000).substr(0, 4), "BUSY");
   for (const int client : clients) net.reset(client);
   EXPECT_EQ(net.read(net.client("PING\r\n")), "PONG\r\n");
@@ -228,7 +263,7 @@
 
 TEST(Node, ASlowReaderHoldsUpItsOwnConnectionOnlyAndLittleOfIt) {
   Net net;
-  const int slow = net.client(kOpen), host = net.host_accepts();
+  const int slow = net.client(opening()), host = net.host_accepts();
   net.write(host, "UP x\r\n");
   EXPECT_EQ(net.read(slow), "UP x\r\n");
   std::string line(1000, 'x');
@@ -242,7 +277,7 @@
   };
   for (int i = 0; i < 20000 && (gives() || (net.run(50), gives())); ++i) net.run(0);
   EXPECT_LT(taken, 19000u * 1000u);
-  const int other = net.client(kOpen);
+  const int other = net.client(opening());
   net.write(net.host_accepts(), "UP y\r\n");
   EXPECT_EQ(net.read(other), "UP y\r\n");
   std::string all;
@@ -254,7 +289,7 @@
 
 TEST(Node, ALineLongerThanTheProtocolsPassesAndMoveStandsAfterIt) {
   Net net;
-  const int client = net.client(kOpen), host = net.host_accepts();
+  const int client = net.client(opening()), host = net.host_accepts();
   net.write(host, "UP x\r\n" + std::string(9000, 'x'));
   EXPECT_EQ(net.read(client, 9006).size(), 9006u);
   net.node->stop();
@@ -278,9 +313,9 @@
 TEST(Node, AClientThatComesLateToANodeThatStopsIsAnsweredBeforeItsEnd) {
   Net net;
   net.node->stop();
-  net.run(400);
-  const int late = net.client("OPEN 1f 2e c=plain,t=x,d=60000\r\n");  // no host ever says a word
-  EXPECT_EQ(net.read(late, 4, 2300).substr(0, 4), "BUSY");
+  net.run(800);
+  const int late = net.client(opening());  // no host ever says a word
+  EXPECT_EQ(net.read(late, 4, 1900).substr(0, 4), "BUSY");
   net.finish(late);
   EXPECT_TRUE(net.until([&] { return net.node->done(); }, 300));
 }
@@ -292,7 +327,7 @@
   EXPECT_EQ(net.read(host).substr(0, 11), "OPEN 1 2 c=");
   net.write(host, "UP x\r\n");
   EXPECT_EQ(net.read(known), "UP x\r\n");
-  EXPECT_EQ(net.read(net.client("OPEN 1 2 c=plain,t=x,d=4294967,at=nobody\r\n")), "ERR\r\n");
+  EXPECT_EQ(net.read(net.client("OPEN 3 2 c=plain,t=x,d=4294967,at=nobody\r\n")), "ERR\r\n");
 }
 
 TEST(Node, DiscoveryThatHangsIsGivenUpBeforeTheNodeCountsAsTold) {
@@ -309,7 +344,7 @@
                          R"(","zone":"near","lifecycle":"up"}])";
   net.answers = {Net::http(R"({"generation":7,"reset":false,"instances":[]})")};
   EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
-  const int client = net.client(kOpen), host = net.host_accepts();
+  const int client = net.client(opening()), host = net.host_accepts();
   net.read(host);
   net.write(host, "UP x\r\n");
   net.read(client);
@@ -361,3 +396,60 @@
   unsetenv("PROXY_DISCOVERY");
   std::remove(path);
 }
+
+TEST(BadClients, TheIdOfAnOpenOrLateConnectionReachesNoHost) {
+  Net net;
+  const std::string first = opening();
+  const int client = net.client(first), host = net.host_accepts();
+  EXPECT_EQ(net.read(net.client(first)), "ERR\r\n") << "while it waits";
+  net.write(host, "UP x\r\n");
+  EXPECT_EQ(net.read(client), "UP x\r\n");
+  EXPECT_EQ(net.read(net.client(first)), "ERR\r\n") << "while it stands";
+  net.reset(client);
+  EXPECT_TRUE(net.ended(host));
+  EXPECT_EQ(net.read(net.client(first)), "ERR\r\n") << "an id is new with every connection";
+}
+
+TEST(BadClients, CommandsPouredInBehindTheFirstOneEndItAndItsTry) {
+  Net net;
+  EXPECT_EQ(net.read(net.client(opening() + opening())), "ERR\r\n");
+  const int client = net.client(opening());
+  const int host = net.host_accepts();
+  net.read(host);
+  net.write(client, "BOOK 1\r\n");
+  EXPECT_EQ(net.read(client), "ERR\r\n");
+  EXPECT_TRUE(net.ended(host));
+}
+
+TEST(BadClients, HalfALineAndASilentOneAreEndedWithinThreeSeconds) {
+  Net net;
+  const int half = net.client("OPEN 1f 2"), silent = net.client("");
+  EXPECT_EQ(net.read(half, 1, 2700), "ERR\r\n");
+  EXPECT_TRUE(net.ended(half));
+  EXPECT_TRUE(net.ended(silent));
+}
+
+TEST(BadClients, OneThatPoursOnWhileItIsToldToGoIsCutOff) {
+  Net net;
+  const int client = net.client("frob\r\n");
+  const std::string lots(16000, 'x');
+  std::size_t taken = 0;
+  net.until(
+      [&] {
+        const auto given = net.socket(client).send(lots.data(), lots.size());
+        taken += given.value_or(0);
+        return !given;
+      },
+      900);
+  EXPECT_FALSE(net.socket(client).send("x", 1)) << "cut off well before the second that its answer has";
+}
+
+TEST(BadClients, ACrowdThatSaysNothingOrOnlyPingTakesNothingFromAUsualClient) {
+  Net net(140);
+  std::vector<int> crowd;
+  for (int i = 0; i < 60; ++i) crowd.push_back(net.client(i % 2 ? "" : "PING\r\n"));
+  const int client = net.client(opening());
+  net.write(net.host_accepts(), "UP fine\r\n");
+  EXPECT_EQ(net.read(client), "UP fine\r\n");
+  EXPECT_EQ(net.read(crowd[1]), "BUSY\r\n") << "the longest silent give way";
+}
