--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <set>
 #include <utility>
 
@@ -499,7 +498,9 @@
     }
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     fleet.crowd_limit = trouble ? kInrush : 0;
-    if (near_size > 0) fleet.mean = near_open / near_size;
+    // Danger: with no near host at weight a mean of nothing shuts the far ones to a crowd they have room for.
+    if (all_size > 0) fleet.mean = near_size > 0 ? near_open / near_size : all_open / all_size;
+    if (all_size > 0) fleet.granted = total(around_.settings, "tenant.", ".open") / all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
     if (hosts > 0) fleet.score = scores / hosts;
@@ -597,7 +598,9 @@
     const double share = seek.fleet.mean * card.size;
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
-    if (card.strained > around_.now) return near ? 6 : 7;
+    // Danger: a node that starts anew in a crowd knows no delays and heaps all of it on its one near host.
+    const bool full = seek.fleet.granted > 0 && (card.open + 1) * kWellOver > seek.fleet.granted * card.size;
+    if (full || card.strained > around_.now) return near ? 6 : 7;
     if (home && !over) return near ? 0 : 3;
     if (near) return over ? 2 : 1;
     return over ? 5 : 4;
@@ -802,15 +805,13 @@
   }
 
   void give_up(Attachment& held) {
-    if (held.answered) return;
+    if (std::exchange(held.answered, true)) return;
     const std::string& id = held.event.id;
-    held.answered = true;
     if (!may_be_rejected(held)) return around_.act(ActionKind::scrap, id, "");
-    Tenths back = 0;  // danger: a rejected crowd comes back in step
-    if (number(around_.settings, "come_back_told", 0) != 0)
-      back = static_cast<Tenths>(number(around_.settings, "max_come_back", 0) *
-                                 (0.2 + 0.8 * around_.chance.share()));
-    around_.act(ActionKind::reject, id, "", 0, back);
+    const bool told = number(around_.settings, "come_back_told", 0) != 0;
+    const double most = told ? number(around_.settings, "max_come_back", 0) : 0;
+    const double share = 0.2 + 0.8 * around_.chance.share();  // danger: a rejected crowd comes back in step
+    around_.act(ActionKind::reject, id, "", 0, static_cast<Tenths>(most * share));
   }
 
   Surroundings& around_;
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -95,7 +95,8 @@
 
 void Probes::over(const std::string& host, Line& line, Cause cause, bool keep) {
   Probed probed{{line.reach, cause}, loop_.now() - line.since, 0};
-  if (cause == Cause::bye || cause == Cause::error) probed.answer_after = loop_.now() - line.written;
+  // Danger: an error comes at once, whatever waits there; as the least time it makes a sound host look slow.
+  if (cause == Cause::bye) probed.answer_after = loop_.now() - line.written;
   const bool told = std::exchange(line.out, false);
   loop_.cancel(line.deadline);
   if (!keep) {
--- a/src/notes.h
+++ b/src/notes.h
@@ -46,6 +46,14 @@
   return found;
 }
 
+// The sum of a figure that each one of a list of settings has.
+inline double total(const Settings& settings, const std::string& list, const std::string& name) {
+  double sum = 0;
+  for (int i = 0; settings.count(list + std::to_string(i) + name); ++i)
+    sum += number(settings, list + std::to_string(i) + name, 0);
+  return sum;
+}
+
 inline double nodes(const Settings& settings) { return std::max(1.0, number(settings, "nodes", 1)); }
 
 // The prefix of the settings of the one that bears this name in a list of settings; empty if none does.
@@ -87,6 +95,7 @@
   int spare = 0;           // moved connections that hosts with room may take in a second
   double sought = 0;       // how often a host was sought lately, for a size of 1
   double bears = 0;        // open connections that a warm host of size 1 bears for this node
+  double granted = 0;      // open connections for a size of 1 that the tenants' shares allow, of all nodes
 };
 
 enum class Part { roster, ring, desk, host };
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -453,3 +453,26 @@
   EXPECT_EQ(net.read(client), "UP fine\r\n");
   EXPECT_EQ(net.read(crowd[1]), "BUSY\r\n") << "the longest silent give way";
 }
+
+TEST(Probes, AnErrorThatComesAtOnceSaysNothingOfHowLongAHostTakes) {
+  Net net;
+  Counters counters;
+  Limits limits;
+  limits.connect_time = 5000;
+  std::vector<Tenths> answered;
+  Probes probes(net.loop, counters, limits, [&](const std::string&, const Probes::Probed& probed) {
+    answered.push_back(probed.answer_after);
+  });
+  probes.probe("h", Net::text_of(net.hosts_at));
+  const int host = net.host_accepts();
+  for (const char* answer : {"ERR\r\n", "PONG\r\n"}) {
+    net.read(host);
+    net.run(5);
+    net.write(host, answer);
+    net.run(5);
+    probes.probe("h", Net::text_of(net.hosts_at));
+  }
+  ASSERT_EQ(answered.size(), 2u);
+  EXPECT_EQ(answered[0], 0);
+  EXPECT_GE(answered[1], 50);
+}
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -510,3 +510,41 @@
     for (const std::string& id : fake.moved) EXPECT_EQ(fake.tries[id].back(), "h0");
   }
 }
+
+namespace {
+
+// The only near host and one far one; how many of `clients` that come at once are sent to each.
+std::map<std::string, int> spread(Fake& fake, int from, int clients) {
+  std::map<std::string, int> at;
+  for (int i = from; i < from + clients; ++i) {
+    const std::string id = "s" + std::to_string(i), host = fake.arrive(id, i);
+    ++at[host];
+    if (!host.empty()) fake.stand(id);
+  }
+  return at;
+}
+
+}  // namespace
+
+TEST(Crowd, ANewNodeDoesNotHeapAllOnItsOneNearHost) {
+  for (const bool told : {false, true}) {
+    Fake fake;
+    if (told) fake.settings["tenant.0.name"] = "t", fake.settings["tenant.0.open"] = 40.0;
+    fake.start(1);
+    fake.list(Fake::listing("far", "far"), HostState::healthy);
+    fake.pass(200000);
+    auto at = spread(fake, 0, 30);
+    EXPECT_EQ(at["h0"], told ? 16 : 30) << "of twenty for each host, a well-over margin under that";
+    EXPECT_EQ(at["far"], told ? 14 : 0);
+  }
+}
+
+TEST(Crowd, WithNoNearHostAtWeightTheFarOnesTakeWhatTheyHaveRoomFor) {
+  Fake fake;
+  fake.start(1);
+  fake.list(Fake::listing("far", "far"), HostState::healthy);
+  fake.pass(200000);
+  spread(fake, 0, 40);
+  for (int i = 0; i < 4; ++i) fake.end("s" + std::to_string(i), Outcome::lost, true);
+  EXPECT_GE(spread(fake, 40, 20)["far"], 4) << "a quarter of what hosts hold, not the least of two";
+}
