Buffers of a connection never hold twice their size; PING is exact, half a line after it ends too

From reading: strings that grow by doubling held up to 16 KiB each way for 8, a line refused or taken kept its 8 KiB; a client that said PING had a minute for the end of a line, and 'PING now' was answered PONG.

--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -68,11 +68,7 @@
     Link& held = *links_.find(ticket);
     held.client.watched =
         loop_.watch(descriptor, POLLIN, [this, ticket](short) { guarded(ticket, &Relay::client_ready); });
-    loop_.at(held.deadline, loop_.now() + kGreetingTime, [this, ticket] {
-      Link* late = links_.find(ticket);
-      if (late && !late->early.empty()) refuse(ticket, *late, "half a line");
-      else drop(ticket);
-    });
+    greeting_ends(ticket, held, kGreetingTime);
     silent_.push_back(ticket);
     guarded(ticket,
             &Relay::client_ready);  // its line may have come with it: then it is not one of the silent
@@ -129,6 +125,12 @@
   }
 }
 
+// Danger: a string that grows by doubling holds up to twice what it may, times all connections.
+std::optional<std::size_t> Relay::take(const Side& from, std::string& to, bool& ended) {
+  to.reserve(kBuffer);
+  return from.socket.receive(to, kBuffer - to.size(), ended);
+}
+
 void Relay::client_ready(Ticket ticket) {
   Link* link = links_.find(ticket);
   if (!link) return;
@@ -137,7 +139,7 @@
     bool ended = false;
     const std::size_t before = link->host.out.size();
     if (!client.in_ended && before < kBuffer) {
-      const auto got = client.socket.receive(link->host.out, kBuffer - before, ended);
+      const auto got = take(client, link->host.out, ended);
       if (!got) {
         link->client_first = true;
         return broke(ticket, *link, link->host);
@@ -179,17 +181,30 @@
   else drop(ticket);
 }
 
+void Relay::greeting_ends(Ticket ticket, Link& link, Tenths after) {
+  loop_.at(link.deadline, loop_.now() + after, [this, ticket] {
+    Link* late = links_.find(ticket);
+    if (late && !late->early.empty()) refuse(ticket, *late, "half a line");
+    else drop(ticket);
+  });
+}
+
 void Relay::greet(Ticket ticket, Link& link) {
   for (int pings = 0;; ++pings) {
     const std::size_t end = link.early.find('\n');
     const bool long_one = end == std::string::npos ? link.early.size() >= kLongestLine : end >= kLongestLine;
-    if (end == std::string::npos && !long_one) return;
+    if (end == std::string::npos && !long_one) {
+      // One that has said PING has longer for its line to begin, and no longer for it to end.
+      if (!link.early.empty() && link.deadline.when > loop_.now() + kGreetingTime)
+        greeting_ends(ticket, link, kGreetingTime);
+      return;
+    }
     const std::string line = long_one ? "" : link.early.substr(0, end + 1);
-    if (word_of(line) == Word::ping && pings < kPingsAtOnce) {
+    if (line == "PING\r\n" && pings < kPingsAtOnce) {
       ++counters_.greeted;
       link.early.erase(0, end + 1);
       link.client.socket.send("PONG\r\n", 6);
-      loop_.at(link.deadline, loop_.now() + kKnownTime, [this, ticket] { drop(ticket); });
+      greeting_ends(ticket, link, kKnownTime);
       std::erase(silent_, ticket);
       silent_.push_back(ticket);
       continue;
@@ -203,7 +218,7 @@
       opened = {std::nullopt, "an id that is taken"};
     if (opened.opening && end + 1 < link.early.size()) opened = {std::nullopt, "more behind it"};
     if (!opened.opening) return refuse(ticket, link, opened.fault);
-    link.early.clear();
+    link.early = {};
     link.opening = std::move(*opened.opening);
     ids_.insert(link.opening.id);
     std::erase(silent_, ticket);
@@ -271,7 +286,7 @@
   const std::size_t before = link->client.out.size();
   if (!host.in_ended && before < kBuffer) {
     bool ended = false;
-    const auto got = host.socket.receive(link->client.out, kBuffer - before, ended);
+    const auto got = take(host, link->client.out, ended);
     if (!got) return broke(ticket, *link, link->client);
     if (ended) host.in_ended = true, set_linger(ticket);
     from_host(ticket, *link, before);
@@ -468,7 +483,8 @@
   link.phase = Phase::closing;
   std::erase(silent_, ticket);
   drop_host(link);
-  link.early.clear();
+  link.early = {};
+  link.opening.line = {};
   link.client.out += line;
   loop_.at(link.deadline, loop_.now() + kClosingTime, [this, ticket] { drop(ticket); });
   flush_closing(ticket, link);
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -98,7 +98,9 @@
   void turn_away_one();
   void client_ready(Ticket ticket);
   void host_ready(Ticket ticket);
+  static std::optional<std::size_t> take(const Side& from, std::string& to, bool& ended);
   void greet(Ticket ticket, Link& link);
+  void greeting_ends(Ticket ticket, Link& link, Tenths after);
   bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
   void await_up(Ticket ticket, Link& link);
   void times_out(Ticket ticket, Link& link, Tenths when);
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -424,7 +424,10 @@
 TEST(BadClients, HalfALineAndASilentOneAreEndedWithinThreeSeconds) {
   Net net;
   const int half = net.client("OPEN 1f 2"), silent = net.client("");
+  const int both = net.client("PING\r\nOPEN 1f 2"), almost = net.client("PING now\r\n");
+  EXPECT_EQ(net.read(almost, 1, 500), "ERR\r\n");
   EXPECT_EQ(net.read(half, 1, 2700), "ERR\r\n");
+  EXPECT_EQ(net.read(both, 9, 1000), "PONG\r\nERR\r\n");
   EXPECT_TRUE(net.ended(half));
   EXPECT_TRUE(net.ended(silent));
 }
