--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,8 +21,7 @@
 constexpr Tenths kSoughtSpan = 10 * kSecond;  // long enough for a quiet node to see how much comes
 constexpr Tenths kPulse = 100 * kMs;          // least time between two looks at the clock
 
-constexpr int kBadRun = 3;    // design: bad results in a row that turn a signal bad
-constexpr int kGoodRun = 12;  // design: good ones that turn it good; also the samples a score looks at
+constexpr int kBadRun = 3, kGoodRun = 12;  // design: in a row, they turn a signal; a score looks at twelve
 constexpr double kRamp[] = {0.05, 0.20, 0.50, 1.00};  // design: the climb of a return
 constexpr int kTop = 3;                               // the last step of the ramp
 constexpr Tenths kStep = kSecond;                     // least stay on a step: several probes in a hurry
@@ -45,9 +44,9 @@
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
-constexpr double kInrush = 0.25;      // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 2;    // and no fewer than this, so that an empty fleet fills
-constexpr double kInrushAll = 6;      // that least for all nodes together: leasts of many nodes add up
+constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
+constexpr double kEase = 0.7;  // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
 constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
@@ -147,6 +146,7 @@
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
   // part of what hosts usually hold as new work in a second; whoever finds no host is told when to come back.
   bool crowd_allows() const {
+    if (card_.open + kOverBy < kEase * fleet_.granted * card_.size / nodes(around_.settings)) return true;
     const double least = std::min(kInrushLeast, kInrushAll / nodes(around_.settings));
     const double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
@@ -599,11 +599,11 @@
     const bool over =
         card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
     // Danger: a node that starts anew in a crowd knows no delays and heaps all of it on its one near host.
-    const bool full = seek.fleet.granted > 0 && (card.open + 1) * kWellOver > seek.fleet.granted * card.size;
-    if (full || card.strained > around_.now) return near ? 6 : 7;
-    if (home && !over) return near ? 0 : 3;
-    if (near) return over ? 2 : 1;
-    return over ? 5 : 4;
+    const bool full = seek.fleet.granted > 0 && (card.open + 1) * 2 > seek.fleet.granted * card.size;
+    if (card.strained > around_.now) return near ? 6 : 7;
+    if (home && !over && !full) return near ? 0 : 3;
+    if (near && !full) return over ? 2 : 1;
+    return over || full ? 5 : 4;
   }
 
   Surroundings& around_;
