--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,6 +23,7 @@
 constexpr Tenths kBeforeKill = 600 * kMs;
 constexpr Tenths kHeldUp = 50 * kMs;  // this process was: what it measured is its own delay
 constexpr double kOwnPart = 1.0 / 5;  // of a goal: what a message takes where nothing else is done
+constexpr double kSpeeds = 2;         // how far hosts at rest differ, beyond what their sizes say
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr Tenths kHandOverTime = 10 * kSecond;
 
@@ -35,8 +36,15 @@
   while (now - probes_.front().first >= kLeastHolds) probes_.pop_front();
 }
 
+std::optional<Tenths> Meter::least() const {
+  if (probes_.empty()) return std::nullopt;
+  const auto shorter = [](const auto& a, const auto& b) { return a.second < b.second; };
+  return std::min_element(probes_.begin(), probes_.end(), shorter)->second;
+}
+
 // Danger: a host that is slow still echoes lines at once; only what waits in its queue shows it.
-std::optional<Tenths> Meter::tell(Tenths now, Tenths goal, const std::vector<Tenths>& unanswered) {
+std::optional<Tenths> Meter::tell(Tenths now, Tenths goal, const std::vector<Tenths>& unanswered,
+                                  Tenths at_rest) {
   const Tenths limit = goal / 3;
   while (!lines_.empty() && now - lines_.front().first >= kMeterSpan) lines_.pop_front();
   std::vector<Tenths> delays;
@@ -50,9 +58,9 @@
     delay = *middle;
   }
   if (!probes_.empty() && now - probes_.back().first < kProbeHolds) {
-    Tenths least = probes_.back().second;
-    for (const auto& [when, took] : probes_) least = std::min(least, took);
-    least = std::max<Tenths>(least, 1);
+    // Danger: a host that this node has only ever seen slow seems to be at rest.
+    const Tenths own = std::max<Tenths>(*this->least(), 1);
+    const Tenths least = at_rest > 0 ? std::min(own, at_rest) : own;
     const Tenths last = probes_.back().second, waited = last - least;
     // A message's own part of its goal grows as the probe has; the rest of the probe's time it waits as well.
     const auto stretched =
@@ -67,6 +75,12 @@
   return delay;
 }
 
+double work_at_rest(std::vector<double> works) {
+  if (works.empty()) return 0;
+  std::sort(works.begin(), works.end());
+  return works[(works.size() - 1) / 3];
+}
+
 Outcome outcome_of(TryEnd end) {
   switch (end.cause) {
     case Cause::no_descriptor: return Outcome::not_sent;  // says nothing of the host
@@ -250,12 +264,14 @@
 
 void Node::listed(const List& list, EventKind kind) {
   for (const auto& [host, address] : list.addresses) addresses_[host] = address;
-  std::set<std::string> up;
-  for (const Listing& listing : list.listings)
-    if (listing.state != HostState::gone) up.insert(listing.host);
-    else probes_.forget(listing.host);
+  std::set<std::string> up, gone;
+  for (const Listing& listing : list.listings) {
+    (listing.state == HostState::gone ? gone : up).insert(listing.host);
+    if (listing.zone == text(settings_, "zone") && listing.size > 0) near_[listing.host] = listing.size;
+  }
   for (const auto& [host, address] : addresses_)
-    if (list.whole && !up.count(host)) probes_.forget(host);
+    if (list.whole && !up.count(host)) gone.insert(host);
+  for (const std::string& host : gone) probes_.forget(host), meters_.erase(host), near_.erase(host);
   tell(kind).listings = list.listings;
 }
 
@@ -274,9 +290,17 @@
     if (unanswered / kTellEvery > std::max<Tenths>(unanswered - since, 0) / kTellEvery)
       tell(EventKind::unanswered, id, found->host).figure = static_cast<double>(unanswered);
   });
-  for (auto& [host, seen] : hosts)
-    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_, seen.second))
+  std::vector<double> works;
+  for (const auto& [host, size] : near_)
+    if (const auto meter = meters_.find(host); meter != meters_.end())
+      if (const auto least = meter->second.least()) works.push_back(size * static_cast<double>(*least));
+  const double work = work_at_rest(std::move(works));
+  for (auto& [host, seen] : hosts) {
+    const auto near = near_.find(host);
+    const Tenths at_rest = near == near_.end() ? 0 : static_cast<Tenths>(kSpeeds * work / near->second);
+    if (const auto delay = meters_[host].tell(loop_.now(), shortest_goal_, seen.second, at_rest))
       tell(EventKind::delay_told, seen.first, host).figure = static_cast<double>(*delay);
+  }
 }
 
 void Node::settle() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -20,9 +20,12 @@
  public:
   void line_back(Tenths now, Tenths delay) { lines_.emplace_back(now, delay); }
   void probed(Tenths now, Tenths took);
+  std::optional<Tenths> least() const;  // that a probe took lately
   // What is to be told now, if anything: once a second while it is over a third of `goal`, once more when
-  // under.
-  std::optional<Tenths> tell(Tenths now, Tenths goal, const std::vector<Tenths>& unanswered);
+  // under. `at_rest`: what a probe takes there at most while nothing is wrong, as other hosts show; 0:
+  // unknown.
+  std::optional<Tenths> tell(Tenths now, Tenths goal, const std::vector<Tenths>& unanswered,
+                             Tenths at_rest = 0);
 
  private:
   std::deque<std::pair<Tenths, Tenths>> lines_;  // when, how long
@@ -31,6 +34,11 @@
   bool over_ = false;
 };
 
+// Work is done the faster the larger a host is: what probes take at rest, times the sizes, is alike at all
+// hosts of a zone. What it is, of what each shows; one that answers far too soon is no measure for the rest,
+// so the lowest third is passed. 0 where none shows any.
+double work_at_rest(std::vector<double> works);
+
 Outcome outcome_of(TryEnd end);
 
 class Node {
@@ -85,6 +93,7 @@
   std::unordered_map<std::string, Held> held_;
   std::map<std::string, std::string> addresses_;
   std::map<std::string, Meter> meters_;
+  std::map<std::string, double> near_;  // the hosts of its own zone, and their sizes
   Loop::Deadline look_, again_;
 };
 
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -124,6 +124,16 @@
   EXPECT_FALSE(meter.tell(now + 22000, 500, {}));
 }
 
+TEST(Meter, AHostThatWasNeverSeenAtRestIsJudgedByTheOthers) {
+  const double work = work_at_rest({2.5 * 178, 2.5 * 34, 4 * 20, 6 * 1});
+  EXPECT_EQ(work, 80) << "neither the slow one nor the one that answers at once";
+  EXPECT_EQ(work_at_rest({}), 0);
+  Meter alone, among;
+  for (Meter* meter : {&alone, &among}) meter->probed(100000, 178);
+  EXPECT_FALSE(alone.tell(100000, 500, {}));
+  EXPECT_GT(among.tell(100000, 500, {}, static_cast<Tenths>(2 * work / 2.5)), 250);
+}
+
 TEST(Meter, LinesWithoutAnswerCountWithTheirAge) {
   Meter meter;
   EXPECT_EQ(meter.tell(100000, 500, {0, 20000, 21000}), 21000);
