--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -489,7 +489,7 @@
       if (!card.healthy) continue;
       ++hosts, scores += card.score;
       if (degraded(card)) ++bad;
-      if (card.late > around_.now || card.shedding > around_.now) trouble_at_ = around_.now;
+      if (card.shedding > around_.now || (card.open && card.late > around_.now)) trouble_at_ = around_.now;
       all_open += card.open, all_size += card.size;
       if (card.weight <= 0.5) continue;
       if (card.zone == zone) near_open += card.open, near_size += card.size;
@@ -838,7 +838,7 @@
 
   void deliver(const Event& event) {
     if (event.kind <= EventKind::stopping) around.write(Part::roster, Topic::event).event = event;
-    else if (event.kind == EventKind::probe_ended)
+    else if (event.id.empty() && !event.host.empty())  // of a probe, or a delay where nothing stands
       around.write(Part::host, Topic::event, event.host).event = event;
     else if (event.kind == EventKind::alarm) around.write(Part::roster, Topic::pulse);
     else if (event.kind != EventKind::peer_word) around.write(Part::desk, Topic::event).event = event;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -60,7 +60,8 @@
   if (!probes_.empty() && now - probes_.back().first < kProbeHolds) {
     // Danger: a host that this node has only ever seen slow seems to be at rest.
     const Tenths own = std::max<Tenths>(*this->least(), 1);
-    const Tenths least = at_rest > 0 ? std::min(own, at_rest) : own;
+    // One probe alone may have come amid the set-ups of a start.
+    const Tenths least = at_rest > 0 && probes_.size() > 1 ? std::min(own, at_rest) : own;
     const Tenths last = probes_.back().second, waited = last - least;
     // A message's own part of its goal grows as the probe has; the rest of the probe's time it waits as well.
     const auto stretched =
@@ -295,6 +296,8 @@
     if (const auto meter = meters_.find(host); meter != meters_.end())
       if (const auto least = meter->second.least()) works.push_back(size * static_cast<double>(*least));
   const double work = work_at_rest(std::move(works));
+  // Danger: a slow host that has lost its last connection is told of no more, and is filled up again.
+  for (const auto& [host, meter] : meters_) hosts[host];
   for (auto& [host, seen] : hosts) {
     const auto near = near_.find(host);
     const Tenths at_rest = near == near_.end() ? 0 : static_cast<Tenths>(kSpeeds * work / near->second);
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -129,6 +129,8 @@
   EXPECT_EQ(work, 80) << "neither the slow one nor the one that answers at once";
   EXPECT_EQ(work_at_rest({}), 0);
   Meter alone, among;
+  for (Meter* meter : {&alone, &among}) meter->probed(99000, 178);
+  EXPECT_FALSE(among.tell(99000, 500, {}, 64)) << "one probe alone says nothing";
   for (Meter* meter : {&alone, &among}) meter->probed(100000, 178);
   EXPECT_FALSE(alone.tell(100000, 500, {}));
   EXPECT_GT(among.tell(100000, 500, {}, static_cast<Tenths>(2 * work / 2.5)), 250);
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -561,3 +561,17 @@
   for (int i = 0; i < 4; ++i) fake.end("s" + std::to_string(i), Outcome::lost, true);
   EXPECT_GE(spread(fake, 40, 20)["far"], 4) << "a quarter of what hosts hold, not the least of two";
 }
+
+TEST(Strain, AHostWhereNothingStandsIsToldSlowTooAndStartsNoCrowdLimit) {
+  Fake fake;
+  fake.start(2);
+  fake.pass(200000);
+  Event slow;
+  slow.kind = EventKind::delay_told;
+  slow.host = "h0";
+  slow.figure = 5000;
+  fake.tell(slow);
+  const auto at = spread(fake, 0, 20);
+  EXPECT_EQ(at.count("h0"), 0u) << "it would be filled up again";
+  EXPECT_EQ(at.at("h1"), 20) << "nobody there is cut off, so no crowd comes";
+}
