--- a/src/node/lines.cpp
+++ b/src/node/lines.cpp
@@ -126,7 +126,6 @@
   if (word == "BYE") return Word::bye;
   if (word == "MOVE") return Word::move;
   if (word == "LOAD") return Word::load;
-  if (word == "PING") return Word::ping;
   if (word == "PONG") return Word::pong;
   if (word == "NO") return Word::no;
   return Word::other;
--- a/src/node/lines.h
+++ b/src/node/lines.h
@@ -40,7 +40,7 @@
 Opened opening_of(std::string_view line, const Grammar& grammar);
 std::string with_wait(const Opening& opening, Tenths wait);
 
-enum class Word { up, busy, error, bye, move, load, ping, pong, no, other };
+enum class Word { up, busy, error, bye, move, load, pong, no, other };
 Word word_of(std::string_view line);
 double load_of(std::string_view line);  // of a LOAD line; below 0 where there is no figure
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -70,8 +70,8 @@
         loop_.watch(descriptor, POLLIN, [this, ticket](short) { guarded(ticket, &Relay::client_ready); });
     greeting_ends(ticket, held, kGreetingTime);
     silent_.push_back(ticket);
-    guarded(ticket,
-            &Relay::client_ready);  // its line may have come with it: then it is not one of the silent
+    // Its line may have come with it: then it is not one of the silent.
+    guarded(ticket, &Relay::client_ready);
   }
 }
 
@@ -163,8 +163,7 @@
   if (got && !ended) {
     if (link->phase == Phase::greeting) return greet(ticket, *link);
     if (link->early.empty()) return;
-    // Danger: commands poured in behind the first one, which would reach the host of that one. A client
-    // waits.
+    // Danger: commands poured in behind the first one would reach the host of that one. A client waits.
     heard_.client_left(ticket);
     end_try(ticket, *link, Cause::client);
     return refuse(ticket, *link, "more before its answer");
