--- a/src/node/counters.cpp
+++ b/src/base/counters.cpp
@@ -1,4 +1,4 @@
-#include "counters.h"
+#include "base/counters.h"
 
 #include <spdlog/fmt/fmt.h>
 
--- a/src/node/log.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "base/log.h"
 
 #include <poll.h>
 #include <spdlog/details/null_mutex.h>
--- a/src/node/loop.cpp
+++ b/src/base/loop.cpp
@@ -1,4 +1,4 @@
-#include "loop.h"
+#include "base/loop.h"
 
 #include <spdlog/spdlog.h>
 
--- a/src/node/loop.h
+++ b/src/base/loop.h
@@ -7,8 +7,8 @@
 #include <functional>
 #include <map>
 
-#include "../words.h"
-#include "slots.h"
+#include "base/clock.h"
+#include "base/slots.h"
 
 namespace dapplewharf {
 
--- a/src/node/socket.cpp
+++ b/src/base/socket.cpp
@@ -1,4 +1,4 @@
-#include "socket.h"
+#include "base/socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
--- a/src/node/socket.h
+++ b/src/base/socket.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-#include "../words.h"
+#include "base/clock.h"
 
 namespace dapplewharf {
 
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -3,8 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "../choice.h"
-#include "../settings.h"
+#include "choice.h"
+#include "settings.h"
 
 using nlohmann::json;
 using namespace dapplewharf;
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -1,13 +1,13 @@
-#include "configuration.h"
+#include "node/configuration.h"
 
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <stdexcept>
 
-#include "../choice.h"
-#include "../settings.h"
-#include "socket.h"
+#include "base/socket.h"
+#include "choice.h"
+#include "settings.h"
 
 using nlohmann::json;
 
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "../words.h"
+#include "words.h"
 
 namespace dapplewharf {
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,12 +1,12 @@
-#include "discovery.h"
+#include "node/discovery.h"
 
 #include <spdlog/spdlog.h>
 
 #include <nlohmann/json.hpp>
 
-#include "../notes.h"
-#include "../settings.h"
-#include "http.h"
+#include "notes.h"
+#include "settings.h"
+#include "wire/http.h"
 
 using nlohmann::json;
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -6,9 +6,10 @@
 #include <nlohmann/json_fwd.hpp>
 #include <vector>
 
-#include "counters.h"
-#include "loop.h"
-#include "socket.h"
+#include "base/counters.h"
+#include "base/loop.h"
+#include "base/socket.h"
+#include "words.h"
 
 namespace dapplewharf {
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -10,9 +10,9 @@
 #include <iostream>
 #include <stdexcept>
 
-#include "../notes.h"
-#include "log.h"
-#include "node.h"
+#include "base/log.h"
+#include "node/node.h"
+#include "notes.h"
 
 using namespace dapplewharf;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,11 +1,11 @@
-#include "node.h"
+#include "node/node.h"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-#include "../notes.h"
-#include "../settings.h"
+#include "notes.h"
+#include "settings.h"
 
 using nlohmann::json;
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,12 +5,12 @@
 #include <deque>
 #include <unordered_map>
 
-#include "../choice.h"
-#include "configuration.h"
-#include "counters.h"
-#include "discovery.h"
-#include "probes.h"
-#include "relay.h"
+#include "base/counters.h"
+#include "choice.h"
+#include "node/configuration.h"
+#include "node/discovery.h"
+#include "node/probes.h"
+#include "node/relay.h"
 
 namespace dapplewharf {
 
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -1,6 +1,6 @@
-#include "probes.h"
+#include "node/probes.h"
 
-#include "../notes.h"
+#include "notes.h"
 
 namespace dapplewharf {
 namespace {
--- a/src/node/probes.h
+++ b/src/node/probes.h
@@ -1,10 +1,10 @@
 // Probes: PING to a host on a connection kept for it, opened when there is none. Owns those connections;
 // tells how each probe ended and never decides when to probe.
 #pragma once
-#include "counters.h"
-#include "loop.h"
-#include "relay.h"
-#include "socket.h"
+#include "base/counters.h"
+#include "base/loop.h"
+#include "base/socket.h"
+#include "node/relay.h"
 
 namespace dapplewharf {
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -1,4 +1,4 @@
-#include "relay.h"
+#include "node/relay.h"
 
 #include <fcntl.h>
 #include <netinet/tcp.h>
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <cerrno>
 
-#include "../notes.h"
+#include "notes.h"
 
 namespace dapplewharf {
 namespace {
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -5,10 +5,10 @@
 #pragma once
 #include <deque>
 
-#include "counters.h"
-#include "lines.h"
-#include "loop.h"
-#include "socket.h"
+#include "base/counters.h"
+#include "base/loop.h"
+#include "base/socket.h"
+#include "wire/lines.h"
 
 namespace dapplewharf {
 
--- a/src/notes.h
+++ b/src/notes.h
@@ -13,9 +13,6 @@
 
 namespace dapplewharf {
 
-constexpr Tenths kMs = 10;
-constexpr Tenths kSecond = 1000 * kMs;
-
 inline double number(const Settings& settings, const std::string& name, double otherwise) {
   const auto found = settings.find(name);
   const double* value = found == settings.end() ? nullptr : std::get_if<double>(&found->second);
--- a/src/node/http.cpp
+++ b/src/wire/http.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "wire/http.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/node/lines.cpp
+++ b/src/wire/lines.cpp
@@ -1,11 +1,11 @@
-#include "lines.h"
+#include "wire/lines.h"
 
 #include <algorithm>
 #include <charconv>
 #include <set>
 
-#include "../chance.h"
-#include "../settings.h"
+#include "chance.h"
+#include "settings.h"
 
 namespace dapplewharf {
 namespace {
--- a/src/node/lines.h
+++ b/src/wire/lines.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "../words.h"
+#include "base/clock.h"
 
 namespace dapplewharf {
 
--- a/src/words.h
+++ b/src/words.h
@@ -7,9 +7,9 @@
 #include <variant>
 #include <vector>
 
-namespace dapplewharf {
+#include "base/clock.h"
 
-using Tenths = std::int64_t;  // a time or a span, in whole tenths of a millisecond
+namespace dapplewharf {
 
 // The settings: names to values. Lists are spelt "traffic.0.name", "traffic.1.name" and so on. Times are
 // tenths.
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -5,8 +5,8 @@
 #include <fstream>
 
 #include "helper.h"
-#include "node/http.h"
-#include "node/lines.h"
+#include "wire/http.h"
+#include "wire/lines.h"
 
 using namespace dapplewharf;
 
