Fleet: scenarios, model, auditor and the simulated driver (first slice)

Need: later subsystems must be measured under faults by a tool of this repository. Change: dapplewharf_fleet check and sim: scenarios in TOML checked whole, a plan drawn from named streams, hosts as a queue of work with warm-up, the auditor of six rules, baselines and faulty policies, report.json.

--- /dev/null
+++ b/src/fleet/audit/audit.h
@@ -0,0 +1,90 @@
+// The auditor: the rules, counted from what hosts and clients saw and never from what a node says of itself.
+// Owns the counts and the first few cases of each; never steers a run. Both drivers feed it the same calls,
+// in the order of their times; times are tenths of a run's own clock.
+#pragma once
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "fleet/model/plan.h"
+
+namespace dapplewharf::fleet {
+
+enum class Rule { final_answer, effect_twice, drain_kept, cold_pushed, bytes_changed, cut_off };
+inline constexpr int kRules = 6;
+extern const char* const kRuleNames[kRules];
+
+enum class Answered { honoured, rejected, scrapped };
+enum class Ended { by_client, by_host, moved, cut, node_lost };
+
+struct Case {
+  std::string id, what;
+  Tenths when = 0;
+};
+
+struct Found {  // of one rule
+  int count = 0;
+  std::vector<Case> first;
+};
+
+class Audit {
+ public:
+  // `slack`: by how much each limit is longer; 0 in virtual time.
+  Audit(const Scenario& scenario, const Plan& plan, Tenths slack);
+
+  void asked(const std::string& id, int node, int traffic, Tenths when);
+  void answered(const std::string& id, Answered answer, Tenths when);
+  void client_left(const std::string& id, Tenths when);  // before its answer: nothing is owed any more
+  void try_came(const std::string& id, int node, int host, Tenths when);  // to the host, its first byte
+  void try_ran(const std::string& id, int host);
+  void try_over(const std::string& id, int host, bool may_have_run, Tenths when);
+  void told(int node, int host, bool leaving, Tenths when);  // by the list
+  void node_lost(int node, Tenths when);                     // killed: what it had taken is owed nothing
+  void pushed(int host, double ratio, Tenths when);
+  void bytes(const std::string& id, bool same, Tenths when);
+  void ended(const std::string& id, Ended how, bool host_lives, Tenths when);
+  void finish(Tenths when);
+
+  struct Totals {
+    int asked = 0, honoured = 0, rejected = 0, scrapped = 0, unanswered = 0, left = 0;
+  };
+  const Totals& totals() const { return totals_; }
+  const Found& found(Rule rule) const { return found_[static_cast<int>(rule)]; }
+  bool broken() const;
+  double peak_push() const { return peak_push_; }
+  int moved() const { return moved_; }
+  int tries() const { return tries_; }
+
+ private:
+  struct Try {
+    int host = 0;
+    Tenths since = 0;
+    bool out = true, may_have_run = true;
+  };
+  struct Attachment {
+    int node = 0, traffic = 0;
+    Tenths asked = 0;
+    int answers = 0;
+    bool owed = true, standing = false;
+    std::vector<Try> tries;
+  };
+  void breach(Rule rule, const std::string& id, Tenths when, std::string what);
+  bool drops_repeats(const Traffic& type, const Try& first, int host, Tenths when) const;
+  void overdue(const std::string& id, Attachment& held, Tenths when);
+  Tenths expiry(const Attachment& held) const;
+
+  const Scenario& scenario_;
+  const Plan& plan_;
+  Tenths slack_;
+  std::unordered_map<std::string, Attachment> held_;
+  std::map<std::pair<int, int>, Tenths> leaving_;  // node and host: since when the node knows
+  std::vector<Tenths> fallen_;                     // by host: a breach is counted once for each cold start
+  Found found_[kRules];
+  Totals totals_;
+  double peak_push_ = 0;
+  int moved_ = 0, tries_ = 0;
+};
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/env.cpp
@@ -0,0 +1,74 @@
+#include "fleet/env.h"
+
+#include <cmath>
+
+using nlohmann::json;
+
+namespace dapplewharf::fleet {
+namespace {
+
+constexpr double kQuota = 0.85;  // of what the hosts can do that tenants' shares grant in all
+
+}  // namespace
+
+json env_of(const Scenario& scenario, const Plan& plan, int node) {
+  json lanes = json::array(), realms = json::array(), goals = json::array(), quotas = json::array();
+  for (const Traffic& type : scenario.traffic) {
+    lanes.push_back({{"name", type.name},
+                     {"semantics", type.effect == "unrepeatable" ? "at_most_once" : type.effect},
+                     {"group", type.repeat_group},
+                     {"windowMs", type.repeat_window_ms},
+                     {"objectiveMs", type.latency_goal_ms},
+                     {"hardLimitMs", type.expiry_ms},
+                     {"worth", type.value},
+                     {"stream", true}});
+    goals.push_back(type.message_goal_ms);
+  }
+  double cores = 0;
+  for (const PlannedHost& host : plan.hosts)
+    if (host.joins_s == 0) cores += host.size;
+  for (const Tenant& tenant : scenario.tenants) {
+    realms.push_back({{"name", tenant.name}, {"portion", tenant.share}, {"quotaPerS", 0.0}});
+    quotas.push_back(std::floor(tenant.share * kQuota * cores * scenario.per_core / plan.mean_load));
+  }
+  return {{"bounds",
+           {{"cancel", true},
+            {"dialTimeoutMs", scenario.connect_ms},
+            {"maxAttempts", scenario.max_tries},
+            {"maxRetryAfterMs", scenario.max_come_back_ms},
+            {"peerMessages", false},
+            {"probes", true},
+            {"retryAfter", scenario.max_come_back_ms > 0},
+            {"secondCopies", false}}},
+          {"charges", {{"probe", 0.0016}, {"moves", 0.021}, {"crossZone", 0.16}}},
+          {"discovery", scenario.list_mode},
+          {"extra",
+           {{"groups", scenario.groups > 0},
+            {"messageAimMs", goals},
+            {"mode", "proxy"},
+            {"parkMs", 0.0},
+            {"tellsDelay", true},
+            {"tellsLoad", true},
+            {"tenantQuotaConnections", quotas}}},
+          {"guarantees",
+           {{"askWithinMs", scenario.ask_within_s * 1000},
+            {"coldFrom", scenario.cold_from},
+            {"coldMs", scenario.cold_s * 1000},
+            {"fallMs", scenario.fall_ms},
+            {"fallMultiple", scenario.fall_multiple},
+            {"graceToAnswerMs", scenario.grace_to_answer_ms},
+            {"stopSendingWithinMs", scenario.drain_grace_ms}}},
+          {"lanes", lanes},
+          {"me", node},
+          {"overShareWorth", 0.1},
+          {"peersTotal", scenario.nodes},
+          {"realms", realms},
+          {"tickMs", 2.0},
+          {"weights", "nominal"},
+          {"workload", "conn"},
+          {"worthBy", "request"},
+          {"zone", scenario.zones[static_cast<std::size_t>(plan.zone_of_node(node, scenario))]},
+          {"zones", scenario.zones}};
+}
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/env.h
@@ -0,0 +1,11 @@
+// A scenario in the platform's words: the settings that a node is configured with. Pure; knows no addresses.
+#pragma once
+#include <nlohmann/json.hpp>
+
+#include "fleet/model/plan.h"
+
+namespace dapplewharf::fleet {
+
+nlohmann::json env_of(const Scenario& scenario, const Plan& plan, int node);
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/main.cpp
@@ -0,0 +1,74 @@
+// dapplewharf_fleet: the commands of the fleet. Owns arguments and exit codes (0 good, 1 the work failed, 2
+// unusable input, 3 a rule was broken); everything else lies in the parts it calls.
+#include <CLI/CLI.hpp>
+#include <ctime>
+#include <iostream>
+
+#include "fleet/sim/policy.h"
+#include "fleet/sim/sim.h"
+
+using namespace dapplewharf::fleet;
+
+namespace {
+
+int sim(const std::string& file, std::uint64_t seed, const std::string& out, const std::string& policy,
+        bool json) {
+  const Scenario scenario = read_scenario(file);
+  if (!is_policy(policy)) {
+    std::string names;
+    for (const std::string& name : policy_names()) names += (names.empty() ? "" : ", ") + name;
+    throw BadInput("--policy:0:0: unknown policy '" + policy + "'; expected one of: " + names);
+  }
+  check_folder(out);
+  const std::clock_t begun = std::clock();
+  Effort effort;
+  const Result result = simulate(scenario, seed, policy, &effort);
+  const double cpu = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+  if (!out.empty()) write_result(result, out);
+  if (json) std::cout << result.told().dump(2) << "\n";
+  else
+    std::cout << result.table() << "  speed      " << effort.virtual_s << " virtual s, "
+              << static_cast<long>(effort.connection_s / std::max(cpu, 1e-3))
+              << " connection-seconds for each second of CPU, " << cpu << " s in all\n";
+  return result.broken() ? 3 : 0;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  CLI::App app("Plays deployments: a fleet of hosts, nodes and clients, and what goes wrong.");
+  app.require_subcommand(1);
+  std::string file, out, policy = "dapplewharf";
+  std::uint64_t seed = 1;
+  bool json = false;
+  auto* check = app.add_subcommand("check", "Reads a scenario and says what is wrong with it.");
+  check->add_option("SCENARIO", file, "a TOML file, see docs/scenario.md")->required();
+  check->footer("Example: dapplewharf_fleet check examples/scenarios/calm.toml");
+  auto* simulated = app.add_subcommand("sim", "Plays a scenario in virtual time.");
+  simulated->add_option("SCENARIO", file)->required();
+  simulated->add_option("--seed", seed, "what chance is drawn from");
+  simulated->add_option("--out", out, "folder for report.json");
+  simulated->add_option("--policy", policy, "who decides");
+  simulated->add_flag("--json", json, "the report to standard output");
+  simulated->footer(
+      "Example: dapplewharf_fleet sim examples/scenarios/silent.toml --seed 3 --out out/silent");
+  auto* reference_page = app.add_subcommand("schema", "Prints the reference of scenarios as Markdown.");
+  try {
+    app.parse(count, words);
+  } catch (const CLI::CallForHelp& help) { return app.exit(help); } catch (const CLI::ParseError& error) {
+    std::cerr << "dapplewharf_fleet:0:0: " << error.what() << "; expected arguments as --help shows\n";
+    return 2;
+  }
+  try {
+    if (*check) return read_scenario(file), std::cout << file << ": good\n", 0;
+    if (*simulated) return sim(file, seed, out, policy, json);
+    if (*reference_page) return std::cout << reference(), 0;
+  } catch (const BadInput& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  } catch (const std::exception& error) {
+    std::cerr << "dapplewharf_fleet: " << error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/fleet/model/chance.h
@@ -0,0 +1,38 @@
+// Named streams of chance from one seed, so that a draw added in one place moves none in another. No
+// decisions.
+#pragma once
+#include <xxhash.h>
+
+#include <cmath>
+#include <cstdint>
+#include <pcg_random.hpp>
+#include <string_view>
+
+namespace dapplewharf::fleet {
+
+class Stream {
+ public:
+  Stream(std::uint64_t seed, std::string_view name) : source_(XXH64(name.data(), name.size(), seed)) {}
+  double share() { return static_cast<double>(source_() >> 11) * 0x1.0p-53; }  // from 0, under 1
+  double between(double low, double high) { return low + (high - low) * share(); }
+  double exponential(double mean) { return -mean * std::log(1 - share()); }
+  double normal() {
+    const double radius = std::sqrt(-2 * std::log(1 - share()));
+    return radius * std::cos(6.283185307179586 * share());
+  }
+  // Log-normal with a mean of 1.
+  double around_one(double deviation) { return std::exp(deviation * normal() - deviation * deviation / 2); }
+  std::size_t index(std::size_t count) {
+    return static_cast<std::size_t>(share() * static_cast<double>(count));
+  }
+
+ private:
+  pcg64 source_;
+};
+
+// A draw that belongs to a thing and not to the moment it is made in: the same whatever came before.
+inline double fixed_share(std::uint64_t seed, std::uint64_t which) {
+  return static_cast<double>(XXH64(&which, sizeof which, seed) >> 11) * 0x1.0p-53;
+}
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/model/host.cpp
@@ -0,0 +1,117 @@
+#include "fleet/model/host.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dapplewharf::fleet {
+namespace {
+
+constexpr Tenths kStep = 20 * kMs;  // while a host warms up its speed is held for so long
+constexpr Tenths kFar = 3600 * kSecond;
+constexpr double kLeastRoom = 0.04;  // a host that is full takes 25 times as long for a message
+constexpr double kChance = 2;        // connections of slack on the limit of a cold host
+
+double seconds(Tenths span) { return static_cast<double>(span) / kSecond; }
+
+}  // namespace
+
+HostModel::HostModel(const Scenario& scenario, const Plan& plan, const PlannedHost& planned)
+    : cores_(planned.cores),
+      speed_(planned.speed),
+      per_core_(scenario.per_core),
+      cold_from_(scenario.cold_from),
+      message_s_(scenario.message_ms / 1000),
+      group_work_(scenario.group_cost * plan.mean_load / scenario.per_core),
+      fall_multiple_(scenario.fall_multiple),
+      full_connections_(planned.cores * planned.speed * scenario.per_core / plan.mean_load),
+      queue_most_(static_cast<std::size_t>(scenario.queue)),
+      cold_time_(static_cast<Tenths>(scenario.cold_s * kSecond)),
+      fall_time_(static_cast<Tenths>(scenario.fall_ms * kMs)) {}
+
+void HostModel::start(Tenths now, bool is_cold) {
+  now_ = now;
+  started_ = is_cold ? now : -1;
+  load_ = groups_held_ = 0;
+  come_ = done_ = 0;
+  groups_.clear(), queue_.clear(), pushes_.clear();
+}
+
+bool HostModel::cold() const { return started_ >= 0 && now_ - started_ < cold_time_; }
+
+double HostModel::warmth() const {
+  if (!cold()) return 1;
+  return cold_from_ + (1 - cold_from_) * seconds(now_ - started_) / seconds(cold_time_);
+}
+
+double HostModel::capacity() const { return cores_ * speed_ * warmth() * (1 - taken) / slowed; }
+
+void HostModel::advance(Tenths now) {
+  while (now_ < now) step(cold() ? std::min(now, now_ + kStep) : now);
+}
+
+void HostModel::step(Tenths to) {
+  const double span = seconds(to - now_);
+  come_ += load() * span;
+  done_ = std::min(come_, done_ + capacity() * span);
+  now_ = to;
+}
+
+HostModel::Work HostModel::add(double work) {
+  come_ += work;
+  queue_.push_back({++numbers_, come_});
+  return numbers_;
+}
+
+std::vector<HostModel::Work> HostModel::done() {
+  std::vector<Work> out;
+  for (; !queue_.empty() && queue_.front().until <= done_ + 1e-9; queue_.pop_front())
+    out.push_back(queue_.front().number);
+  return out;
+}
+
+void HostModel::drop(Work work) {
+  std::erase_if(queue_, [&](const Waiting& one) { return one.number == work; });
+}
+
+Tenths HostModel::next() const {
+  if (queue_.empty()) return now_ + kFar;
+  const double left = std::max(0.0, queue_.front().until - done_) / std::max(capacity(), 1e-6);
+  const auto wait = static_cast<Tenths>(std::ceil(std::min(left, 60.0) * kSecond));
+  return now_ + std::max<Tenths>(1, cold() ? std::min(wait, kStep) : wait);
+}
+
+void HostModel::stand(double load, int group) {
+  load_ += load / per_core_;
+  if (group >= 0 && ++groups_[group] == 1) ++groups_held_;
+}
+
+void HostModel::leave(double load, int group) {
+  load_ = std::max(0.0, load_ - load / per_core_);
+  if (group >= 0 && --groups_[group] == 0) groups_.erase(group), --groups_held_;
+}
+
+double HostModel::pushed() {
+  if (!cold()) return 0;
+  pushes_.push_back(now_);
+  while (now_ - pushes_.front() >= fall_time_) pushes_.pop_front();
+  const double limit =
+      fall_multiple_ * warmth() * full_connections_ * seconds(fall_time_) / seconds(cold_time_);
+  return static_cast<double>(pushes_.size()) / (limit + kChance);
+}
+
+double HostModel::piled_s() const { return (come_ - done_) / std::max(capacity(), 1e-6); }
+
+double HostModel::own_ms() const {
+  const double room = std::max(kLeastRoom, 1 - load() / std::max(capacity(), 1e-6));
+  const double pace = speed_ * warmth() * (1 - taken) / slowed;
+  return 1000 * message_s_ / std::max(pace, 1e-6) / room;
+}
+
+double HostModel::in_time(double goal_ms) const {
+  const double left = goal_ms - 1000 * piled_s();
+  return left <= 0 ? 0 : 1 - std::exp(-left / own_ms());
+}
+
+double HostModel::delay_ms(double share) const { return 1000 * piled_s() - own_ms() * std::log(1 - share); }
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/model/host.h
@@ -0,0 +1,63 @@
+// A host as both drivers play it: work that is piled up and done in turn, warm-up, falling over, the time
+// that a message takes. Owns its queue and its load, in the driver's time; knows no sockets and no events.
+// Work is in seconds of a core of speed 1.
+#pragma once
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "base/clock.h"
+#include "fleet/model/plan.h"
+
+namespace dapplewharf::fleet {
+
+class HostModel {
+ public:
+  HostModel(const Scenario& scenario, const Plan& plan, const PlannedHost& planned);
+
+  void start(Tenths now, bool cold);  // a fresh process: nothing held
+  void advance(Tenths now);
+
+  using Work = std::uint64_t;
+  bool full() const { return queue_.size() >= queue_most_; }
+  Work add(double work);     // in turn behind all that is piled up
+  std::vector<Work> done();  // that have come out since the last call
+  void drop(Work work);      // nobody waits for it any more; it is done all the same
+  Tenths next() const;       // when to look again; far away if nothing is in the queue
+
+  void stand(double load, int group);
+  void leave(double load, int group);
+  void load_changes(double by) { load_ += by / per_core_; }
+
+  // New work has come; its share of what pushes a cold host over, from 0. Over 1 it falls.
+  double pushed();
+  bool cold() const;
+  double warmth() const;
+  double capacity() const;  // cores of speed 1, as of now
+  double load() const { return load_ + groups_held_ * group_work_; }
+  double piled_s() const;                // until a set-up that comes now has its turn
+  double own_ms() const;                 // mean of a message's own time
+  double in_time(double goal_ms) const;  // share of messages
+  double delay_ms(double share) const;   // below which that share of messages stays
+
+  double slowed = 1, taken = 0;  // troubles: times slower; share that another program takes
+
+ private:
+  void step(Tenths to);
+
+  double cores_, speed_, per_core_, cold_from_, message_s_, group_work_, fall_multiple_, full_connections_;
+  std::size_t queue_most_;
+  Tenths cold_time_, fall_time_, now_ = 0, started_ = -1;  // started_ below 0: long ago
+  double load_ = 0, come_ = 0, done_ = 0;                  // all work that has come and been done
+  std::map<int, int> groups_;
+  double groups_held_ = 0;
+  struct Waiting {
+    Work number;
+    double until;  // of done_
+  };
+  std::deque<Waiting> queue_;
+  Work numbers_ = 0;
+  std::deque<Tenths> pushes_;
+};
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/model/plan.h
@@ -0,0 +1,58 @@
+// What a scenario and a seed make: hosts, clients and troubles, all drawn before a run, so that both drivers
+// and every policy meet the same evening. Owns nothing that changes; the same seed gives the same plan on any
+// machine.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "fleet/model/scenario.h"
+
+namespace dapplewharf::fleet {
+
+struct PlannedHost {
+  std::string id;
+  int zone = 0, kind = 0;
+  double cores = 1, speed = 1, size = 1;  // speed is true, size nominal
+  double joins_s = 0;                     // after 0: with trouble grow, cold
+};
+
+// One client's wish for a connection, from when it first comes until it needs it no more.
+struct Session {
+  std::uint64_t seed = 0;
+  double arrive_s = 0, life_s = 0, load = 1;  // load in mean connections
+  int traffic = 0, tenant = -1, group = -1, zone = 0;
+  bool honours = false;    // comes back when told to
+  double patience_ms = 0;  // leaves before its expiry; 0: does not
+};
+
+struct PlannedTrouble {
+  Trouble trouble;
+  std::vector<int> hosts, nodes;
+};
+
+struct Plan {
+  std::vector<PlannedHost> hosts;
+  std::vector<Session> sessions;  // by arrival
+  std::vector<PlannedTrouble> troubles;
+  double mean_load = 1;  // of a connection
+  std::string hash;      // of all of the above
+
+  int zone_of_node(int node, const Scenario& scenario) const {
+    return node % static_cast<int>(scenario.zones.size());
+  }
+};
+
+Plan plan_of(const Scenario& scenario, std::uint64_t seed);
+
+// A connection's load at a time of its session, in mean connections.
+double load_at(const Scenario& scenario, const Session& session, double since_s);
+
+enum class Reply { none, up, busy, other, cut, moved };  // what a client has got
+// How long a client waits until it comes again, in ms. `failures`: in a row, this one included.
+double comes_again_ms(const Scenario& scenario, const Session& session, Reply got, double told_ms,
+                      int failures, std::uint64_t attempt);
+
+std::string id_of(const Session& session, int attempt);  // of an attachment, 16 hexadecimal digits
+std::string hex(std::uint64_t value);
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/sim/policy.cpp
@@ -0,0 +1,204 @@
+#include "fleet/sim/policy.h"
+
+#include <algorithm>
+#include <map>
+
+#include "chance.h"
+#include "notes.h"
+
+namespace dapplewharf::fleet {
+namespace {
+
+constexpr Tenths kAskAgain = kSecond;
+constexpr int kPoints = 60;  // of a host of size 1, on the plain ring
+
+const std::pair<const char*, Fault> kFaulty[] = {
+    {"faulty-drops-answer", Fault::drops_answer}, {"faulty-answers-twice", Fault::answers_twice},
+    {"faulty-effect-twice", Fault::two_tries},    {"faulty-drain", Fault::ignores_drain},
+    {"faulty-cold", Fault::heaps_on_cold},        {"faulty-bytes", Fault::changes_bytes},
+    {"faulty-cut-off", Fault::cuts_off}};
+const char* const kPlain[] = {"random", "fewest", "ring", "truth"};
+
+class Module : public Policy {
+ public:
+  Module(const Settings& settings, std::uint64_t seed, Tenths now) : choice_(settings, seed, now) {}
+  std::vector<Action> take(Tenths now, const std::vector<Event>& events) override {
+    return choice_.take(now, events);
+  }
+
+ private:
+  Choice choice_;
+};
+
+// The baselines: no probes, no scores, no moves but off hosts that leave; only the order of hosts differs.
+class Baseline : public Policy {
+ public:
+  Baseline(std::string name, const Settings& settings, std::uint64_t seed, Truth truth)
+      : name_(std::move(name)),
+        fault_(fault_of(name_)),
+        settings_(settings),
+        chance_(seed),
+        truth_(std::move(truth)) {}
+
+  std::vector<Action> take(Tenths now, const std::vector<Event>& events) override {
+    now_ = now;
+    for (const Event& event : events) happened(event);
+    return std::exchange(actions_, {});
+  }
+
+ private:
+  struct Known {
+    Listing listing;
+    int open = 0;
+  };
+  struct Held {
+    Event event;
+    std::vector<std::string> tried;
+    bool standing = false;
+  };
+
+  void act(ActionKind kind, const std::string& id, const std::string& host = "", Tenths time = 0) {
+    actions_.push_back({kind, id, host, "", 0, time});
+  }
+
+  void happened(const Event& event) {
+    switch (event.kind) {
+      case EventKind::list_copy: listed(event), act(ActionKind::subscribe, ""); break;
+      case EventKind::list_whole: hosts_gone(event), listed(event); break;
+      case EventKind::list_changes: listed(event); break;
+      case EventKind::list_lost: act(ActionKind::set_alarm, "", "", kAskAgain); break;
+      case EventKind::alarm: act(ActionKind::subscribe, ""); break;
+      case EventKind::stopping: move_all(""); break;
+      case EventKind::attachment: held_[event.id].event = event, ask(event.id); break;
+      case EventKind::established: held_[event.id].standing = true; break;
+      case EventKind::try_ended: ended(event); break;
+      case EventKind::client_left: held_.erase(event.id); break;
+      default: break;
+    }
+  }
+
+  void listed(const Event& event) {
+    for (const Listing& one : event.listings) {
+      hosts_[one.host].listing = one;
+      if (one.state != HostState::healthy) move_all(one.host);
+    }
+  }
+  void hosts_gone(const Event& event) {
+    for (auto& [id, known] : hosts_)
+      if (std::none_of(event.listings.begin(), event.listings.end(),
+                       [&id = id](const Listing& one) { return one.host == id; }))
+        known.listing.state = HostState::gone;
+  }
+  void move_all(const std::string& host) {
+    for (const auto& [id, held] : held_)
+      if (held.standing && (host.empty() || held.tried.back() == host))
+        act(ActionKind::move, id, held.tried.back());
+  }
+
+  void ended(const Event& event) {
+    const auto found = held_.find(event.id);
+    if (found == held_.end()) return;
+    Known& known = hosts_[event.host];
+    known.open = std::max(0, known.open - 1);
+    if (event.final || found->second.standing) return void(held_.erase(found));
+    const bool ran = event.outcome != Outcome::turned_away && event.outcome != Outcome::no_connection &&
+                     event.outcome != Outcome::not_sent;
+    const std::string at = entry(settings_, "traffic.", found->second.event.traffic_type);
+    if (ran && text(settings_, at + "effect") != "idempotent") {
+      act(ActionKind::scrap, event.id);
+      return void(held_.erase(found));
+    }
+    ask(event.id);
+  }
+
+  void ask(const std::string& id) {
+    Held& held = held_[id];
+    const bool over = now_ >= held.event.expiry ||
+                      static_cast<double>(held.tried.size()) >= number(settings_, "max_tries", 1);
+    const std::string host = over ? "" : pick(held);
+    if (host.empty()) {
+      act(ActionKind::reject, id, "",
+          static_cast<Tenths>(number(settings_, "max_come_back", 0) * chance_.share()));
+      return void(held_.erase(id));
+    }
+    held.tried.push_back(host);
+    ++hosts_[host].open;
+    const std::string at = entry(settings_, "traffic.", held.event.traffic_type);
+    const auto goal = static_cast<Tenths>(number(settings_, at + "latency_goal", 0) / 2);
+    act(ActionKind::setup_try, id, host,
+        std::clamp<Tenths>(goal, 1, std::max<Tenths>(1, held.event.expiry - now_)));
+  }
+
+  // Lower comes first.
+  double rank(const Held& held, const std::string& id, const Known& known) {
+    if (fault_ == Fault::heaps_on_cold) return -static_cast<double>(known.listing.started);
+    const double again = std::count(held.tried.begin(), held.tried.end(), id) ? 1e9 : 0;
+    const double far = known.listing.zone == text(settings_, "zone") ? 0 : 1;
+    if (name_ == "truth") return again + truth_(id) + 0.3 * far + known.open * 1e-6;
+    if (name_ == "fewest") return again + 1e6 * far + known.open / std::max(known.listing.size, 1e-6);
+    if (name_ == "ring") {
+      const Event& event = held.event;
+      const std::uint64_t key = event.group ? hash(static_cast<std::uint64_t>(*event.group)) : hash(event.id);
+      std::uint64_t nearest = UINT64_MAX;
+      for (int i = 0; i < std::max(1, static_cast<int>(kPoints * known.listing.size)); ++i)
+        nearest = std::min(nearest, hash(hash(id) + static_cast<unsigned>(i)) - key);
+      return again + static_cast<double>(nearest) / 1.9e19;
+    }
+    return again + 1e6 * far + chance_.share();
+  }
+
+  std::string pick(const Held& held) {
+    std::string best;
+    double least = 0;
+    for (const auto& [id, known] : hosts_) {
+      if (known.listing.state != HostState::healthy && fault_ != Fault::ignores_drain) continue;
+      // A draining host is what this fault likes best.
+      double here = rank(held, id, known);
+      if (fault_ == Fault::ignores_drain && known.listing.state != HostState::healthy && here < 1e8)
+        here -= 1e7;
+      if (best.empty() || here < least) best = id, least = here;
+    }
+    return best;
+  }
+
+  std::string name_;
+  Fault fault_;
+  const Settings settings_;
+  Chance chance_;
+  Truth truth_;
+  Tenths now_ = 0;
+  std::map<std::string, Known> hosts_;
+  std::map<std::string, Held> held_;
+  std::vector<Action> actions_;
+};
+
+}  // namespace
+
+std::vector<std::string> policy_names() {
+  std::vector<std::string> out{"dapplewharf"};
+  out.insert(out.end(), std::begin(kPlain), std::end(kPlain));
+  for (const auto& [name, fault] : kFaulty) out.push_back(name);
+  return out;
+}
+
+bool is_policy(const std::string& name) {
+  const auto names = policy_names();
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+Fault fault_of(const std::string& name) {
+  for (const auto& [known, fault] : kFaulty)
+    if (name == known) return fault;
+  return Fault::none;
+}
+
+std::unique_ptr<Policy> policy_of(const std::string& name, const Settings& settings, std::uint64_t seed,
+                                  Tenths now, Truth truth) {
+  const Fault fault = fault_of(name);
+  const bool own = name == "dapplewharf" ||
+                   (fault != Fault::none && fault != Fault::ignores_drain && fault != Fault::heaps_on_cold);
+  if (own) return std::make_unique<Module>(settings, seed, now);
+  return std::make_unique<Baseline>(name, settings, seed, std::move(truth));
+}
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/sim/policy.h
@@ -0,0 +1,42 @@
+// Who decides in a simulated run: the project's module, the baselines that only the fleet has, and policies
+// with one fault each, which show that the auditor can fail. A policy gets what the module gets and answers
+// in its words.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "choice.h"
+
+namespace dapplewharf::fleet {
+
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual std::vector<Action> take(Tenths now, const std::vector<Event>& events) = 0;
+};
+
+// A fault of the node around the policy, carried out by the driver.
+enum class Fault {
+  none,
+  drops_answer,
+  answers_twice,
+  two_tries,
+  ignores_drain,
+  heaps_on_cold,
+  changes_bytes,
+  cuts_off
+};
+
+// What the policy that knows the truth is told: a host's load over its capacity now; over 1e6 if it can't
+// serve.
+using Truth = std::function<double(const std::string& host)>;
+
+std::vector<std::string> policy_names();
+bool is_policy(const std::string& name);
+Fault fault_of(const std::string& name);
+std::unique_ptr<Policy> policy_of(const std::string& name, const Settings& settings, std::uint64_t seed,
+                                  Tenths now, Truth truth);
+
+}  // namespace dapplewharf::fleet
