Fleet: the driver on sockets, around the real node

Need: what the model says of the module must be seen on the program itself. Change: dapplewharf_fleet live: hosts with their list, and clients with their front, as two processes in the project's own loop; nodes started, killed, restarted, reloaded; records merged into the same auditor; lateness voids a run.

--- /dev/null
+++ b/src/fleet/live/part.cpp
@@ -0,0 +1,61 @@
+#include <spdlog/fmt/fmt.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "fleet/live/parts.h"
+
+namespace dapplewharf::fleet {
+namespace {
+
+constexpr Tenths kBeat = 20 * kMs;  // lateness is seen at least so often
+
+}  // namespace
+
+std::string Street::node(int node) const { return fmt::format("127.{}.0.{}:8000", net, 10 + node); }
+std::string Street::host(int host, int node) const {
+  return fmt::format("127.{}.{}.{}:8000", net, 1 + node, 10 + host);
+}
+std::string Street::list(int node) const { return fmt::format("127.{}.{}.1:8500", net, 1 + node); }
+
+Part::Part(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie)
+    : scenario_(scenario), plan_(plan), street_(street), tie_(std::move(tie)) {}
+
+void Part::once(Tenths when, Loop::Due due) {
+  Loop::Deadline one;
+  at(one, when, std::move(due));
+}
+
+void Part::beat() {
+  loop_.at(beat_, loop_.now() + kBeat, [this] { beat(); });
+  if (loop_.late() <= late_) return;
+  late_ = loop_.late();
+  records_.add(now(), Seen::late, "", static_cast<long>(late_));
+}
+
+int Part::run(double for_s) {
+  try {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // danger: a parent that was killed leaves its rig behind
+    for (const int number : {SIGINT, SIGPIPE}) std::signal(number, SIG_IGN);
+    prepare();
+    while (!prepared()) loop_.turn(20 * kMs);
+    Tenths begun = 0;
+    if (write(tie_.ready, "r", 1) != 1) return 1;
+    if (read(tie_.go, &begun, sizeof begun) != sizeof begun) return 1;
+    begun_ = begun;
+    loop_.turn(0);
+    begin();
+    beat();
+    while (now() < from_s(for_s)) loop_.turn(kBeat);
+    end();
+    records_.write(tie_.file);
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "dapplewharf_fleet: " << error.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace dapplewharf::fleet
--- /dev/null
+++ b/src/fleet/live/parts.h
@@ -0,0 +1,67 @@
+// The rig's parts, each a process of its own: hosts with their list service, and clients with their front.
+// Both are played from the same plan by the same model as the simulated driver, on loopback sockets and in
+// real time.
+#pragma once
+#include <functional>
+#include <string>
+
+#include "base/loop.h"
+#include "base/socket.h"
+#include "fleet/live/record.h"
+#include "fleet/model/plan.h"
+
+namespace dapplewharf::fleet {
+
+// Where everybody listens. `net` tells runs side by side apart: 127.net.0.0/16.
+struct Street {
+  int net = 64;
+  std::string node(int node) const;
+  std::string host(int host, int node) const;  // as that node is told
+  std::string list(int node) const;
+};
+
+// What a part and its parent say to each other: the part writes 'r' once it is ready and reads the run's
+// beginning as eight bytes of the shared clock; it ends by itself and leaves its records in `file`.
+struct Tie {
+  int ready = -1, go = -1;
+  std::string file;
+};
+
+class Part {  // what both parts share: the loop, the beginning, lateness
+ public:
+  Part(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie);
+  virtual ~Part() = default;
+  int run(double for_s);  // the process's exit code
+
+ protected:
+  virtual void prepare() = 0;  // throws std::runtime_error where a port is taken
+  virtual bool prepared() { return true; }
+  virtual void begin() = 0;
+  virtual void end() {}
+  Tenths now() const { return loop_.now() - begun_; }  // of the run
+  // At a time of the run.
+  void at(Loop::Deadline& deadline, Tenths when, Loop::Due due) {
+    loop_.at(deadline, begun_ + when, std::move(due));
+  }
+  void once(Tenths when, Loop::Due due);
+  static Tenths from_s(double s) { return static_cast<Tenths>(s * kSecond); }
+  static Tenths from_ms(double ms) { return static_cast<Tenths>(ms * kMs); }
+
+  const Scenario& scenario_;
+  const Plan& plan_;
+  const Street& street_;
+  Loop loop_;
+  Records records_;
+
+ private:
+  void beat();
+  Tie tie_;
+  Tenths begun_ = INT64_MAX / 2;
+  Loop::Deadline beat_;
+  Tenths late_ = 0;
+};
+
+int run_hosts(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie, double for_s);
+int run_clients(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie, double for_s);
+
+}  // namespace dapplewharf::fleet
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -1,9 +1,12 @@
 // dapplewharf_fleet: the commands of the fleet. Owns arguments and exit codes (0 good, 1 the work failed, 2
 // unusable input, 3 a rule was broken); everything else lies in the parts it calls.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <ctime>
 #include <iostream>
 
+#include "fleet/live/live.h"
 #include "fleet/sim/policy.h"
 #include "fleet/sim/sim.h"
 
@@ -33,6 +36,24 @@
   return result.broken() ? 3 : 0;
 }
 
+int live(const std::string& file, const LiveOptions& options, bool json) {
+  const Scenario scenario = read_scenario(file);
+  check_folder(options.out);
+  const Result result = play_live(scenario, options);
+  if (!options.out.empty()) write_result(result, options.out);
+  std::cout << (json ? result.told().dump(2) + "\n" : result.table());
+  if (!result.void_because.empty()) return std::cerr << file << ": void: " << result.void_because << "\n", 1;
+  return result.broken() ? 3 : 0;
+}
+
+// The node that was built beside this program.
+std::string node_beside() {
+  char path[4096];
+  const ssize_t size = readlink("/proc/self/exe", path, sizeof path);
+  const std::string own(path, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+  return own.substr(0, own.rfind('/') + 1) + "dapplewharf";
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -52,6 +73,15 @@
   simulated->add_flag("--json", json, "the report to standard output");
   simulated->footer(
       "Example: dapplewharf_fleet sim examples/scenarios/silent.toml --seed 3 --out out/silent");
+  LiveOptions options;
+  options.node = node_beside();
+  auto* lived = app.add_subcommand("live", "Plays a scenario on loopback sockets, around the real node.");
+  lived->add_option("SCENARIO", file)->required();
+  lived->add_option("--seed", options.seed, "what chance is drawn from");
+  lived->add_option("--out", options.out, "folder for report.json, the nodes' logs and configurations");
+  lived->add_option("--node", options.node, "the program of a node");
+  lived->add_flag("--json", json, "the report to standard output");
+  lived->footer("Example: dapplewharf_fleet live examples/scenarios/silent.toml --seed 3 --out out/silent");
   auto* reference_page = app.add_subcommand("schema", "Prints the reference of scenarios as Markdown.");
   try {
     app.parse(count, words);
@@ -62,6 +92,8 @@
   try {
     if (*check) return read_scenario(file), std::cout << file << ": good\n", 0;
     if (*simulated) return sim(file, seed, out, policy, json);
+    options.progress = isatty(STDERR_FILENO) != 0;
+    if (*lived) return live(file, options, json);
     if (*reference_page) return std::cout << reference(), 0;
   } catch (const BadInput& error) {
     std::cerr << error.what() << "\n";
--- a/src/fleet/model/chance.h
+++ b/src/fleet/model/chance.h
@@ -35,4 +35,9 @@
   return static_cast<double>(XXH64(&which, sizeof which, seed) >> 11) * 0x1.0p-53;
 }
 
+// A draw that belongs to an attachment, the same in both drivers.
+inline double chance_of(std::string_view id, std::uint64_t which) {
+  return static_cast<double>(XXH64(id.data(), id.size(), which) >> 11) * 0x1.0p-53;
+}
+
 }  // namespace dapplewharf::fleet
--- a/src/fleet/model/plan.cpp
+++ b/src/fleet/model/plan.cpp
@@ -121,6 +121,10 @@
     session.traffic = static_cast<int>(drawn(of_clients, scenario.traffic));
     const Traffic& type = scenario.traffic[static_cast<std::size_t>(session.traffic)];
     session.life_s = std::max(0.5, of_clients.exponential(type.life_s));
+    for (const Trouble& trouble : scenario.troubles)  // a hush: nobody comes and nobody goes
+      if (const double ends = arrive_s + session.life_s;
+          trouble.kind == Ill::hush && ends >= trouble.at_s && ends < trouble.at_s + trouble.for_s)
+        session.life_s += trouble.at_s + trouble.for_s - ends;
     session.load = type.load * of_clients.around_one(scenario.load_spread);
     const double at = of_clients.share() * all;
     if (!sizes.empty()) {
--- a/src/fleet/model/scenario.cpp
+++ b/src/fleet/model/scenario.cpp
@@ -130,7 +130,7 @@
     {"trouble", "kind", &Trouble::name, 0, 0,
      "silent slow failing hang vanish restart drain neighbour drop burst grow list_stale list_down "
      "node_killed "
-     "node_restarted zone_cut one_way hush",
+     "node_restarted node_reload zone_cut one_way hush",
      "what goes wrong"},
     {"trouble", "at_s", &Trouble::at_s, 0, 36000, "", "when it begins"},
     {"trouble", "for_s", &Trouble::for_s, 0.01, 36000, "", "for how long"},
@@ -144,10 +144,10 @@
      "drain: how the host sends its clients away; hosts.goaway otherwise"},
 };
 
-constexpr const char* kKindNames[] = {"silent",   "slow",       "failing",   "hang",        "vanish",
-                                      "restart",  "drain",      "neighbour", "drop",        "burst",
-                                      "grow",     "list_stale", "list_down", "node_killed", "node_restarted",
-                                      "zone_cut", "one_way",    "hush"};
+constexpr const char* kKindNames[] = {
+    "silent",         "slow",        "failing",  "hang",    "vanish",     "restart",   "drain",
+    "neighbour",      "drop",        "burst",    "grow",    "list_stale", "list_down", "node_killed",
+    "node_restarted", "node_reload", "zone_cut", "one_way", "hush"};
 
 bool allowed(const char* words, const std::string& word) {
   std::istringstream in(words);
@@ -403,7 +403,7 @@
 }  // namespace
 
 bool names_hosts(Ill kind) { return kind <= Ill::neighbour; }
-bool names_nodes(Ill kind) { return kind == Ill::node_killed || kind == Ill::node_restarted; }
+bool names_nodes(Ill kind) { return kind >= Ill::node_killed && kind <= Ill::node_reload; }
 
 Scenario scenario_of(const std::string& text, const std::string& file) {
   Scenario to;
--- a/src/fleet/model/scenario.h
+++ b/src/fleet/model/scenario.h
@@ -51,6 +51,7 @@
   list_down,
   node_killed,
   node_restarted,
+  node_reload,
   zone_cut,
   one_way,
   hush
--- a/src/fleet/sim/sim.cpp
+++ b/src/fleet/sim/sim.cpp
@@ -506,9 +506,7 @@
     if (host.draining || host.model.full()) return word(Outcome::turned_away);
     const std::string id = id_of(session(conn.client), conn.attempt);
     audit_.try_ran(id, static_cast<int>(conn.host));
-    if (fixed_share(session(conn.client).seed, 977 * static_cast<std::uint64_t>(conn.attempt) + conn.host) <
-        host.failing)
-      return word(Outcome::error);
+    if (chance_of(id, conn.host) < host.failing) return word(Outcome::error);
     const double ratio = host.model.pushed();
     audit_.pushed(static_cast<int>(conn.host), ratio, now_);
     if (ratio > 1) return falls(conn.host);
@@ -940,6 +938,11 @@
     for (const int number : planned.nodes) {
       const Index n = static_cast<Index>(number);
       if (!begins || !nodes_[n].alive) continue;
+      if (trouble.kind == Ill::node_reload) {  // it asks for the whole list anew
+        nodes_[n].watches = false;
+        ask_list(n, true);
+        continue;
+      }
       if (trouble.kind == Ill::node_killed) {
         kill_node(n);
         at(now_ + from_s(trouble.for_s), Kind::node_back, n);
