--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,32 @@
-# Build, test, lint and run. CI calls .ci/run, which ends in `make test`'s script.
+# Build, demo, test, lint and run. CI calls .ci/run, which ends in `make test`'s script.
 BUILD ?= build
+TOOLS ?= build-tools
+NODE_NEEDS = cmake g++ make nlohmann-json3-dev libspdlog-dev
+TOOL_NEEDS = $(NODE_NEEDS) libcli11-dev libtomlplusplus-dev libpcg-cpp-dev libxxhash-dev libboost-dev gnuplot-nox
+TEST_NEEDS = $(TOOL_NEEDS) libgtest-dev procps
 
-.PHONY: build test lint format run clean
+.PHONY: build tools demo test needs lint format run clean
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
 	cmake --build $(BUILD) -j4
 
-test:
+# The node, and the tools beside it, in a folder of their own: build/ stays what the deployment builds.
+tools:
+	@tools/install.sh $(TOOL_NEEDS)
+	cmake -S . -B $(TOOLS) -DCMAKE_BUILD_TYPE=Release -DDAPPLEWHARF_TOOLS=ON >/dev/null
+	cmake --build $(TOOLS) -j8
+
+# Two nodes, eight hosts and three hundred clients on loopback; a host falls silent, one drains, a node restarts.
+demo: tools
+	@$(TOOLS)/dapplewharf_fleet live examples/scenarios/demo.toml --out out/demo
+	@echo "the page: $$($(TOOLS)/dapplewharf_fleet report out/demo)"
+
+test: needs
 	tests/run.sh
 
+needs:
+	@tools/install.sh $(TEST_NEEDS)
+
 lint:
 	clang-format --dry-run --Werror $$(git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h')
 	@lines=$$(grep -c . src/choice.cpp); [ $$lines -le 910 ] || { echo "src/choice.cpp holds $$lines lines, 910 at most"; exit 1; }
@@ -22,4 +40,4 @@
 	$(BUILD)/dapplewharf
 
 clean:
-	rm -rf $(BUILD) build-tests
+	rm -rf $(BUILD) build-tests $(TOOLS) out
--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -19,6 +19,8 @@
 
 Tenths Loop::unix_now() { return tenths<std::chrono::system_clock>(); }
 
+Tenths Loop::steady_now() { return tenths<std::chrono::steady_clock>(); }
+
 Loop::Loop() : start_(unix_now() - tenths<std::chrono::steady_clock>()) { tick(); }
 
 void Loop::tick() { now_ = std::max(now_, start_ + tenths<std::chrono::steady_clock>()); }
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -26,6 +26,9 @@
   // Steady, and counted from Unix time as it was when the loop was made.
   Tenths now() const { return now_; }
   static Tenths unix_now();
+  // For processes that share a beginning: the machine's steady clock, and a time on it as this loop counts.
+  static Tenths steady_now();
+  Tenths of_steady(Tenths steady) const { return start_ + steady; }
 
   Ticket watch(int descriptor, short events, Ready ready);
   void want(Ticket watched, short events);  // 0: nothing, not even its end
--- a/src/fleet/audit/audit.cpp
+++ b/src/fleet/audit/audit.cpp
@@ -141,6 +141,10 @@
   }
 }
 
+void Audit::node_new(int node) {
+  std::erase_if(leaving_, [&](const auto& one) { return one.first.first == node; });
+}
+
 void Audit::pushed(int host, double ratio, Tenths when) {
   peak_push_ = std::max(peak_push_, ratio);
   Tenths& last = fallen_[static_cast<std::size_t>(host)];
--- a/src/fleet/audit/audit.h
+++ b/src/fleet/audit/audit.h
@@ -42,6 +42,7 @@
   void try_over(const std::string& id, int host, bool may_have_run, Tenths when);
   void told(int node, int host, bool leaving, Tenths when);  // by the list
   void node_lost(int node, Tenths when);                     // killed: what it had taken is owed nothing
+  void node_new(int node);                                   // a fresh process knows no list yet
   void pushed(int host, double ratio, Tenths when);
   void bytes(const std::string& id, bool same, Tenths when);
   void ended(const std::string& id, Ended how, bool host_lives, Tenths when);
--- a/src/fleet/live/clients.cpp
+++ b/src/fleet/live/clients.cpp
@@ -199,11 +199,12 @@
     if (!client.written) {
       if (!client.socket.connected()) return refused(i);
       const std::string line = opening(i);
+      const Tenths asked = stamp();  // before it can be seen anywhere
       const auto sent = client.socket.send(line.data(), line.size());
       if (!sent || *sent < line.size()) return refused(i);
       client.written = true;
       client.sent = now();
-      records_.add(now(), Seen::asked, client.id, client.node, session(i).traffic);
+      records_.add(asked, Seen::asked, client.id, client.node, session(i).traffic);
       const double longest = type_of(i).expiry_ms + scenario_.grace_to_answer_ms + scenario_.slack_ms;
       at(client.expires, now() + from_ms(longest) + kLingers, [this, i] { gives_up(i, false); });
       if (session(i).patience_ms > 0 && client.attempt == 1)
@@ -228,16 +229,20 @@
     if (client.waiting) return answered(i, line);
     if (!client.standing) {
       // More after the final answer; the auditor knows what that is.
-      if (line != "MOVE\r\n") records_.add(now(), Seen::reply, client.id, static_cast<long>(Reply::other), 0);
+      if (line != "MOVE\r\n")
+        records_.add(stamp(), Seen::reply, client.id, static_cast<long>(Reply::other), 0);
       return;
     }
     if (line == "MOVE\r\n") return ends(i, 1);
     if (line.starts_with("LOAD ")) return;
     const auto sent = std::find_if(client.lines.begin(), client.lines.end(),
                                    [&](const auto& one) { return one.first == line; });
-    if (sent == client.lines.end()) return records_.add(now(), Seen::bytes, client.id, 0);
+    const bool word = line.starts_with("BUSY") || line.starts_with("ERR") || line.starts_with("UP ");
+    if (sent == client.lines.end() && word)  // an answer again, and nothing that it sent
+      return records_.add(stamp(), Seen::reply, client.id, static_cast<long>(Reply::other), 0);
+    if (sent == client.lines.end()) return records_.add(stamp(), Seen::bytes, client.id, 0);
     const Tenths took = now() - sent->second;
-    records_.add(now(), Seen::line, "", client.node, static_cast<long>(took));
+    records_.add(stamp(), Seen::line, "", client.node, static_cast<long>(took));
     if (sent->second == client.line_at) client.line_good = took <= from_ms(type_of(i).message_goal_ms);
     client.lines.erase(sent);
   }
@@ -252,10 +257,10 @@
     else if (line.starts_with("BUSY"))
       reply = Reply::busy, told_ms = line.size() > 7 ? std::strtod(line.c_str() + 5, nullptr) : 0;
     else if (line.starts_with("UP "))
-      records_.add(now(), Seen::bytes, client.id, 0);  // somebody else's receipt
-    records_.add(now(), Seen::reply, client.id, static_cast<long>(reply), static_cast<long>(told_ms));
+      records_.add(stamp(), Seen::bytes, client.id, 0);  // somebody else's receipt
+    records_.add(stamp(), Seen::reply, client.id, static_cast<long>(reply), static_cast<long>(told_ms));
     if (reply == Reply::up) {
-      records_.add(now(), Seen::set_up, "", client.node, static_cast<long>(now() - client.sent));
+      records_.add(stamp(), Seen::set_up, "", client.node, static_cast<long>(now() - client.sent));
       client.failures = 0;
       client.standing = true;
       client.line_at = 0;
@@ -338,7 +343,7 @@
   void ends(std::size_t i, int how) {
     Client& client = clients_[i];
     credit(i, now());
-    records_.add(now(), Seen::ended, client.id, how);
+    records_.add(stamp(), Seen::ended, client.id, how);
     client.standing = false;
     loop_.cancel(client.speaks);
     hang_up(i);
@@ -347,7 +352,7 @@
   void close_by_client(std::size_t i) {
     Client& client = clients_[i];
     credit(i, now());
-    records_.add(now(), Seen::ended, client.id, 0);
+    records_.add(stamp(), Seen::ended, client.id, 0);
     client.standing = false;
     loop_.cancel(client.speaks);
     hang_up(i);
@@ -356,7 +361,7 @@
   void gives_up(std::size_t i, bool by_itself) {
     Client& client = clients_[i];
     if (!client.waiting) return;
-    records_.add(now(), Seen::gave_up, client.id);
+    records_.add(stamp(), Seen::gave_up, client.id);
     client.waiting = false;
     loop_.cancel(client.expires), loop_.cancel(client.leaves);
     hang_up(i);
--- a/src/fleet/live/gather.cpp
+++ b/src/fleet/live/gather.cpp
@@ -77,9 +77,13 @@
   result.driver = "live", result.policy = "node", result.seed = seed;
   result.begin(scenario, plan);
   auto& records = gathered.records;
-  // At one time what a host or a client saw of an end goes before what came of it.
-  std::stable_sort(records.begin(), records.end(),
-                   [](const Record& a, const Record& b) { return a.when < b.when; });
+  // At one time a question goes first and what a client gets last.
+  const auto turn = [](Seen kind) {
+    return kind == Seen::asked ? 0 : kind == Seen::reply || kind == Seen::ended ? 2 : 1;
+  };
+  std::stable_sort(records.begin(), records.end(), [&](const Record& a, const Record& b) {
+    return a.when != b.when ? a.when < b.when : turn(a.kind) < turn(b.kind);
+  });
 
   std::map<std::string, Tenths> host_ended;
   std::map<std::string, int> at_host, at_node;
@@ -175,6 +179,7 @@
         break;
       case Seen::probe: ++result.probes; break;
       case Seen::node_lost: audit.node_lost(a, one.when); break;
+      case Seen::node_new: audit.node_new(a); break;
       case Seen::late: result.late_ms = std::max(result.late_ms, static_cast<double>(one.a) / kMs); break;
       case Seen::host_ended:
       case Seen::host_is: break;
--- a/src/fleet/live/hosts.cpp
+++ b/src/fleet/live/hosts.cpp
@@ -23,7 +23,8 @@
 constexpr std::size_t kMost = 64 * 1024;  // held for a peer that does not read
 constexpr Tenths kPaced = 500 * kMs;
 constexpr double kPacedShare = 0.2;
-constexpr int kFillers = 4;  // connections that fill a queue of one
+constexpr int kFillers = 4;        // connections that fill a queue of one
+constexpr double kOutlasts = 0.6;  // s: clients end first, or the end of hosts would seem a fault
 constexpr double kFallenForS = 1e5;
 
 enum class HostIs { up, silent, vanished, down };
@@ -60,7 +61,7 @@
     int hangs = 0, life = 0, connections = 0;
     std::string pace, told = "up";
     double started_unix_ms = 0;
-    std::map<HostModel::Work, std::pair<Ticket, bool>> works;  // whose, and whether it is a probe
+    std::map<HostModel::Work, Ticket> works;  // whose
     std::vector<Ticket> standing;
     Loop::Deadline turn;
     std::vector<Door> doors;  // by node
@@ -99,7 +100,7 @@
       hosts_[h]->model.start(now(), false);
       if (plan_.hosts[h].joins_s > 0)
         once(from_s(plan_.hosts[h].joins_s), [this, h] { back(static_cast<int>(h), hosts_[h]->life); });
-      records_.add(now(), Seen::host_is, "", static_cast<long>(h), hosts_[h]->is == HostIs::up);
+      records_.add(stamp(), Seen::host_is, "", static_cast<long>(h), hosts_[h]->is == HostIs::up);
     }
     for (std::size_t i = 0; i < plan_.troubles.size(); ++i) {
       const Trouble& trouble = plan_.troubles[i].trouble;
@@ -111,7 +112,7 @@
 
   void every_second(Tenths when) {
     for (std::size_t h = 0; h < hosts_.size(); ++h)
-      records_.add(now(), Seen::open, "", static_cast<long>(h),
+      records_.add(stamp(), Seen::open, "", static_cast<long>(h),
                    hosts_[h]->is == HostIs::down ? 0 : static_cast<long>(hosts_[h]->standing.size()));
     once(when + kSecond, [this, when] { every_second(when + kSecond); });
   }
@@ -246,7 +247,7 @@
     if (line == "PING\r\n" || line == "STATS\r\n") return probed(ticket, conn);
     if (!line.starts_with("OPEN ") || !opened(conn, line)) return say(ticket, "SYNTAX\r\n");
     conn.phase = Conn::Phase::opening;
-    records_.add(now(), Seen::try_came, conn.id, conn.node, conn.host);
+    records_.add(stamp(), Seen::try_came, conn.id, conn.node, conn.host);
     const Tenths there = far(conn) ? from_ms(3 * scenario_.cross_ms) : 0;
     if (there > 0) later(ticket, there, [this, ticket] { set_up(ticket); });
     else set_up(ticket);
@@ -284,14 +285,14 @@
       over(conn, false);
       return finish(ticket, "BUSY\r\n");
     }
-    records_.add(now(), Seen::try_ran, conn.id, conn.host);
+    records_.add(stamp(), Seen::try_ran, conn.id, conn.host);
     conn.ran = true;
     if (chance_of(conn.id, static_cast<std::uint64_t>(conn.host)) < host.failing) {
       over(conn, true);
       return finish(ticket, "ERR\r\n");
     }
     const double ratio = host.model.pushed();
-    if (ratio > 0) records_.add(now(), Seen::pushed, "", conn.host, std::lround(ratio * 1000));
+    if (ratio > 0) records_.add(stamp(), Seen::pushed, "", conn.host, std::lround(ratio * 1000));
     if (ratio > 1) {
       host.fallen = true;
       return goes(conn.host, HostIs::down, kFallenForS, scenario_.list_late_s);
@@ -299,16 +300,16 @@
     if (host.hangs > 0) return;
     const Traffic& type = scenario_.traffic[static_cast<std::size_t>(session(conn).traffic)];
     conn.work = host.model.add(type.setup_ms / 1000 * -std::log(1 - chance_of(conn.id, 5)));
-    host.works[conn.work] = {ticket, false};
+    host.works[conn.work] = ticket;
     wake(conn.host);
   }
 
   void probed(Ticket ticket, Conn& conn) {
     Host& host = *hosts_[static_cast<std::size_t>(conn.host)];
-    records_.add(now(), Seen::probe, "", conn.host);
+    records_.add(stamp(), Seen::probe, "", conn.host);
     if (chance_of(std::to_string(++probes_), 7) < host.failing) return say(ticket, "ERR\r\n");
-    host.works[host.model.add(scenario_.probe_ms / 1000)] = {ticket, true};
-    wake(conn.host);
+    const double there = far(conn) ? 2 * scenario_.cross_ms : 0;
+    later(ticket, from_ms(there + host.model.probe_ms()), [this, ticket] { say(ticket, "PONG\r\n"); });
   }
 
   void wake(int h) {
@@ -323,14 +324,13 @@
     for (const HostModel::Work work : host.model.done()) {
       const auto found = host.works.find(work);
       if (found == host.works.end()) continue;
-      const auto [ticket, probe] = found->second;
+      const Ticket ticket = found->second;
       host.works.erase(found);
       Conn* conn = conns_.find(ticket);
       if (!conn) continue;
-      const Tenths there = far(*conn) ? from_ms((probe ? 2 : 1) * scenario_.cross_ms) : 0;
-      if (!probe) stands(ticket, *conn);
-      const std::string word = probe ? "PONG\r\n" : "UP " + conn->id + "\r\n";
-      if (there > 0) later(ticket, there, [this, ticket = ticket, word] { say(ticket, word); });
+      stands(ticket, *conn);
+      const std::string word = "UP " + conn->id + "\r\n";
+      if (far(*conn)) later(ticket, from_ms(scenario_.cross_ms), [this, ticket, word] { say(ticket, word); });
       else say(ticket, word);
     }
     wake(h);
@@ -362,7 +362,7 @@
     say(ticket, fmt::format("LOAD {:.1f}\r\n", load / scenario_.per_core * 1e6));
   }
   void over(const Conn& conn, bool may_have_run) {
-    records_.add(now(), Seen::try_over, conn.id, conn.host, may_have_run);
+    records_.add(stamp(), Seen::try_over, conn.id, conn.host, may_have_run);
   }
 
   void say(Ticket ticket, const std::string& line) {
@@ -416,7 +416,7 @@
     });
     for (const Ticket ticket : here) {
       Conn& conn = *conns_.find(ticket);
-      if (!conn.id.empty()) records_.add(now(), Seen::host_ended, conn.id, h);
+      if (!conn.id.empty()) records_.add(stamp(), Seen::host_ended, conn.id, h);
       loop_.unwatch(conn.watched);
       conn.watched = {};
       conn.socket.abort();
@@ -475,7 +475,7 @@
   void is(int h, HostIs what) {
     Host& host = *hosts_[static_cast<std::size_t>(h)];
     host.is = what;
-    records_.add(now(), Seen::host_is, "", h, what == HostIs::up);
+    records_.add(stamp(), Seen::host_is, "", h, what == HostIs::up);
     for (int n = 0; n < static_cast<int>(host.doors.size()); ++n)
       if (what != HostIs::down) blocked(h, n) ? block(h, n) : unblock(h, n);
     std::vector<Ticket> here;
@@ -522,7 +522,7 @@
     host.started_unix_ms = static_cast<double>(Loop::unix_now()) / kMs;
     host.is = HostIs::up;
     open_doors(h);
-    records_.add(now(), Seen::host_is, "", h, 1);
+    records_.add(stamp(), Seen::host_is, "", h, 1);
     tell_list(h, "up", scenario_.list_late_s);
   }
 
@@ -552,7 +552,7 @@
       host.model.advance(now());
       host.model.leave(conn.load, session(conn).group);
       std::erase(host.standing, ticket);
-      records_.add(now(), Seen::host_ended, conn.id, h);
+      records_.add(stamp(), Seen::host_ended, conn.id, h);
       finish(ticket, "MOVE\r\n");
     }
     once(now() + kPaced, [this, h, life] { paced(h, life); });
@@ -669,12 +669,13 @@
         body;
     caller->waits = false;
     loop_.cancel(caller->deadline);
+    const Tenths told = stamp();
     // The list is small against a socket's buffer: what does not go out at once is a broken caller.
     const auto sent = caller->socket.send(text.data(), text.size());
     for (int h = 0; h < static_cast<int>(hosts_.size()); ++h) {
       const Host& host = *hosts_[static_cast<std::size_t>(h)];
       if (whole || std::count(named.begin(), named.end(), h))
-        records_.add(now(), Seen::told, "", caller->node, h, !host.listed || host.told != "up");
+        records_.add(told, Seen::told, "", caller->node, h, !host.listed || host.told != "up");
     }
     if (!sent || *sent < text.size()) hang_up(ticket);
   }
@@ -695,7 +696,7 @@
 }  // namespace
 
 int run_hosts(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie, double for_s) {
-  return Hosts(scenario, plan, street, std::move(tie)).run(for_s);
+  return Hosts(scenario, plan, street, std::move(tie)).run(for_s + kOutlasts);
 }
 
 }  // namespace dapplewharf::fleet
--- a/src/fleet/live/live.cpp
+++ b/src/fleet/live/live.cpp
@@ -98,8 +98,9 @@
     await_part(1);
     loop_.turn(0);
     begun_ = loop_.now() + kBeginsAfter;
+    const Tenths steady = begun_ - loop_.of_steady(0);
     for (const auto& go : goes_)
-      if (write(go->to, &begun_, sizeof begun_) != sizeof begun_)
+      if (write(go->to, &steady, sizeof steady) != sizeof steady)
         throw RunFailed("a part of the rig has ended");
     plan_signals();
     sample();
@@ -230,6 +231,7 @@
       execl(options_.node.c_str(), options_.node.c_str(), nullptr);
       _exit(127);
     }
+    if (now() >= 0) records_.saw(now(), Seen::node_new, static_cast<std::size_t>(n));
     nodes_[static_cast<std::size_t>(n)] = {id, 0};
     away_[static_cast<std::size_t>(n)] = false;
   }
@@ -249,7 +251,7 @@
           once(trouble.at_s, [this, at] {
             away_[at] = true;
             nodes_[at].end(SIGKILL);
-            records_.add_lost(now(), at);
+            records_.saw(now(), Seen::node_lost, at);
           });
           once(trouble.at_s + trouble.for_s,
                [this, at] { nodes_[at].finish(), start_node(static_cast<int>(at)); });
@@ -305,8 +307,8 @@
   }
 
   struct Own : std::vector<Record> {
-    void add_lost(Tenths when, std::size_t node) {
-      push_back({when, Seen::node_lost, "", static_cast<long>(node), 0, 0});
+    void saw(Tenths when, Seen what, std::size_t node) {
+      push_back({when, what, "", static_cast<long>(node), 0, 0});
     }
   };
 
--- a/src/fleet/live/part.cpp
+++ b/src/fleet/live/part.cpp
@@ -32,7 +32,7 @@
   loop_.at(beat_, loop_.now() + kBeat, [this] { beat(); });
   if (loop_.late() <= late_) return;
   late_ = loop_.late();
-  records_.add(now(), Seen::late, "", static_cast<long>(late_));
+  records_.add(stamp(), Seen::late, "", static_cast<long>(late_));
 }
 
 int Part::run(double for_s) {
@@ -44,7 +44,7 @@
     Tenths begun = 0;
     if (write(tie_.ready, "r", 1) != 1) return 1;
     if (read(tie_.go, &begun, sizeof begun) != sizeof begun) return 1;
-    begun_ = begun;
+    begun_ = loop_.of_steady(begun);
     loop_.turn(0);
     begin();
     beat();
--- a/src/fleet/live/parts.h
+++ b/src/fleet/live/parts.h
@@ -38,7 +38,10 @@
   virtual bool prepared() { return true; }
   virtual void begin() = 0;
   virtual void end() {}
-  Tenths now() const { return loop_.now() - begun_; }  // of the run
+  Tenths now() const { return loop_.now() - begun_; }  // of the run, as this turn has it
+  // Of the run, this very moment. Danger: what a turn reads late on is newer than the turn, and would seem to
+  // come before what another process saw first.
+  Tenths stamp() const { return loop_.of_steady(Loop::steady_now()) - begun_; }
   // At a time of the run.
   void at(Loop::Deadline& deadline, Tenths when, Loop::Due due) {
     loop_.at(deadline, begun_ + when, std::move(due));
--- a/src/fleet/live/record.h
+++ b/src/fleet/live/record.h
@@ -29,7 +29,8 @@
   host_is = 's',     // host, 1: up
   open = 'h',        // host, connections
   probe = 'q',       // host
-  node_lost = 'k',   // node
+  node_lost = 'k',   // node, killed
+  node_new = 'f',    // node, started anew
   late = 'z'         // the process, tenths
 };
 
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -7,8 +7,10 @@
 #include <iostream>
 
 #include "fleet/live/live.h"
+#include "fleet/report/page.h"
 #include "fleet/sim/policy.h"
 #include "fleet/sim/sim.h"
+#include "fleet/sweep.h"
 
 using namespace dapplewharf::fleet;
 
@@ -82,6 +84,28 @@
   lived->add_option("--node", options.node, "the program of a node");
   lived->add_flag("--json", json, "the report to standard output");
   lived->footer("Example: dapplewharf_fleet live examples/scenarios/silent.toml --seed 3 --out out/silent");
+  Sweep grid;
+  std::vector<std::string> vary;
+  std::string seeds = "1..10", policies = "dapplewharf";
+  auto* swept = app.add_subcommand(
+      "sweep", "Plays a grid of values, policies and seeds on all cores; goes on where it stopped.");
+  swept->add_option("SCENARIO", grid.file)->required();
+  swept->add_option("--vary", vary, "NAME=V1,V2; may be said again for another name");
+  swept->add_option("--seeds", seeds, "A..B");
+  swept->add_option("--out", grid.out, "folder of the experiment")->required();
+  swept->add_option("--policy", policies, "NAME,NAME; the first is what others are compared with");
+  swept->add_option("--jobs", grid.jobs, "runs at a time; as many as there are cores");
+  swept->add_flag("--json", grid.json, "the table as JSON");
+  swept->footer(
+      "Example: dapplewharf_fleet sweep examples/scenarios/small.toml --vary clients.standing=150,250 "
+      "--seeds 1..10 "
+      "--policy dapplewharf,random --out out/sweep");
+  std::string folder, html;
+  auto* paged =
+      app.add_subcommand("report", "Makes one HTML page of a folder that sim, live or sweep wrote.");
+  paged->add_option("DIR", folder)->required();
+  paged->add_option("--html", html, "the page; DIR/report.html otherwise");
+  paged->footer("Example: dapplewharf_fleet report out/silent --html silent.html");
   auto* reference_page = app.add_subcommand("schema", "Prints the reference of scenarios as Markdown.");
   try {
     app.parse(count, words);
@@ -94,6 +118,19 @@
     if (*simulated) return sim(file, seed, out, policy, json);
     options.progress = isatty(STDERR_FILENO) != 0;
     if (*lived) return live(file, options, json);
+    if (*swept) {
+      for (const std::string& one : vary) grid.vary.push_back(vary_of(one));
+      std::tie(grid.first, grid.last) = seeds_of(seeds);
+      grid.policies = words_of(policies);
+      if (grid.policies.empty()) throw BadInput("--policy:0:0: names none; expected NAME,NAME");
+      grid.progress = options.progress;
+      return run_sweep(grid);
+    }
+    if (*paged) {
+      if (html.empty()) html = folder + "/report.html";
+      write_page(folder, html);
+      return std::cout << html << "\n", 0;
+    }
     if (*reference_page) return std::cout << reference(), 0;
   } catch (const BadInput& error) {
     std::cerr << error.what() << "\n";
--- a/src/fleet/model/host.cpp
+++ b/src/fleet/model/host.cpp
@@ -9,6 +9,8 @@
 constexpr Tenths kStep = 20 * kMs;  // while a host warms up its speed is held for so long
 constexpr Tenths kFar = 3600 * kSecond;
 constexpr double kLeastRoom = 0.04;  // a host that is full takes 25 times as long for a message
+constexpr double kSetups = 0.15;     // of a host that set-ups have even when it is full
+constexpr double kCrowded = 0.05;    // s of set-ups that wait: messages take twice as long beside them
 constexpr double kChance = 2;        // connections of slack on the limit of a cold host
 
 double seconds(Tenths span) { return static_cast<double>(span) / kSecond; }
@@ -21,6 +23,7 @@
       per_core_(scenario.per_core),
       cold_from_(scenario.cold_from),
       message_s_(scenario.message_ms / 1000),
+      probe_s_(scenario.probe_ms / 1000),
       group_work_(scenario.group_cost * plan.mean_load / scenario.per_core),
       fall_multiple_(scenario.fall_multiple),
       full_connections_(planned.cores * planned.speed * scenario.per_core / plan.mean_load),
@@ -31,7 +34,7 @@
 void HostModel::start(Tenths now, bool is_cold) {
   now_ = now;
   started_ = is_cold ? now : -1;
-  load_ = groups_held_ = 0;
+  load_ = piled_ = groups_held_ = 0;
   come_ = done_ = 0;
   groups_.clear(), queue_.clear(), pushes_.clear();
 }
@@ -49,10 +52,13 @@
   while (now_ < now) step(cold() ? std::min(now, now_ + kStep) : now);
 }
 
+double HostModel::left() const { return std::max(kSetups * capacity(), capacity() - load()); }
+
 void HostModel::step(Tenths to) {
   const double span = seconds(to - now_);
-  come_ += load() * span;
-  done_ = std::min(come_, done_ + capacity() * span);
+  const double set_up = std::min(come_ - done_, left() * span);
+  done_ += set_up;
+  piled_ = std::max(0.0, piled_ + (load() - capacity()) * span + set_up);
   now_ = to;
 }
 
@@ -71,12 +77,13 @@
 
 void HostModel::drop(Work work) {
   std::erase_if(queue_, [&](const Waiting& one) { return one.number == work; });
+  if (queue_.empty()) come_ = done_;  // what nobody waits for is not begun
 }
 
 Tenths HostModel::next() const {
   if (queue_.empty()) return now_ + kFar;
-  const double left = std::max(0.0, queue_.front().until - done_) / std::max(capacity(), 1e-6);
-  const auto wait = static_cast<Tenths>(std::ceil(std::min(left, 60.0) * kSecond));
+  const double wanted = std::max(0.0, queue_.front().until - done_) / std::max(left(), 1e-6);
+  const auto wait = static_cast<Tenths>(std::ceil(std::min(wanted, 60.0) * kSecond));
   return now_ + std::max<Tenths>(1, cold() ? std::min(wait, kStep) : wait);
 }
 
@@ -99,14 +106,19 @@
   return static_cast<double>(pushes_.size()) / (limit + kChance);
 }
 
-double HostModel::piled_s() const { return (come_ - done_) / std::max(capacity(), 1e-6); }
+double HostModel::piled_s() const { return piled_ / std::max(capacity(), 1e-6); }
 
-double HostModel::own_ms() const {
+// How much longer than on an idle core of speed 1 anything takes.
+double HostModel::stretch() const {
   const double room = std::max(kLeastRoom, 1 - load() / std::max(capacity(), 1e-6));
   const double pace = speed_ * warmth() * (1 - taken) / slowed;
-  return 1000 * message_s_ / std::max(pace, 1e-6) / room;
+  const double waiting = (come_ - done_) / std::max(left(), 1e-6);
+  return (1 + std::min(1.0, waiting / kCrowded)) / std::max(pace, 1e-6) / room;
 }
 
+double HostModel::own_ms() const { return 1000 * message_s_ * stretch(); }
+double HostModel::probe_ms() const { return 1000 * (probe_s_ * stretch() + piled_s()); }
+
 double HostModel::in_time(double goal_ms) const {
   const double left = goal_ms - 1000 * piled_s();
   return left <= 0 ? 0 : 1 - std::exp(-left / own_ms());
--- a/src/fleet/model/host.h
+++ b/src/fleet/model/host.h
@@ -18,11 +18,11 @@
   void start(Tenths now, bool cold);  // a fresh process: nothing held
   void advance(Tenths now);
 
-  using Work = std::uint64_t;
+  using Work = std::uint64_t;  // a set-up
   bool full() const { return queue_.size() >= queue_most_; }
-  Work add(double work);     // in turn behind all that is piled up
+  Work add(double work);     // in turn behind those that wait
   std::vector<Work> done();  // that have come out since the last call
-  void drop(Work work);      // nobody waits for it any more; it is done all the same
+  void drop(Work work);      // nobody waits for it any more
   Tenths next() const;       // when to look again; far away if nothing is in the queue
 
   void stand(double load, int group);
@@ -35,7 +35,8 @@
   double warmth() const;
   double capacity() const;  // cores of speed 1, as of now
   double load() const { return load_ + groups_held_ * group_work_; }
-  double piled_s() const;                // until a set-up that comes now has its turn
+  double piled_s() const;                // that messages wait for what lies before them
+  double probe_ms() const;               // that a probe takes now
   double own_ms() const;                 // mean of a message's own time
   double in_time(double goal_ms) const;  // share of messages
   double delay_ms(double share) const;   // below which that share of messages stays
@@ -44,11 +45,15 @@
 
  private:
   void step(Tenths to);
+  double stretch() const;
+  double left() const;  // of its capacity for set-ups
 
-  double cores_, speed_, per_core_, cold_from_, message_s_, group_work_, fall_multiple_, full_connections_;
+  double cores_, speed_, per_core_, cold_from_, message_s_, probe_s_, group_work_, fall_multiple_,
+      full_connections_;
   std::size_t queue_most_;
   Tenths cold_time_, fall_time_, now_ = 0, started_ = -1;  // started_ below 0: long ago
-  double load_ = 0, come_ = 0, done_ = 0;                  // all work that has come and been done
+  double load_ = 0, piled_ = 0;  // work of connections that should have been done by now
+  double come_ = 0, done_ = 0;   // all work of set-ups
   std::map<int, int> groups_;
   double groups_held_ = 0;
   struct Waiting {
--- a/src/fleet/sim/sim.cpp
+++ b/src/fleet/sim/sim.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <queue>
 #include <unordered_map>
 
@@ -24,9 +25,12 @@
 constexpr Tenths kResent = 200 * kMs;      // a lost packet is sent again
 constexpr Tenths kPaced = 500 * kMs;       // between two parts that a draining host sends away
 constexpr double kPacedShare = 0.2;
-constexpr Tenths kToldEvery = kSecond;  // delays and unanswered lines
-constexpr double kToldAt = 1.0 / 3;     // of the shortest message goal
-constexpr int kFaultEvery = 20;         // a faulty node's fault: each so many times
+constexpr Tenths kToldEvery = kSecond;   // delays and unanswered lines
+constexpr double kToldAt = 1.0 / 3;      // of the shortest message goal
+constexpr double kOwnPart = 1.0 / 5;     // of it: what the node takes a message to need on a host at rest
+constexpr double kNoiseMs = 1.5;         // a probe's time over its least that says nothing
+constexpr std::size_t kProbesKept = 60;  // s of which the least is known
+constexpr int kFaultEvery = 20;          // a faulty node's fault: each so many times
 constexpr double kQuantiles[] = {0.1, 0.3, 0.5, 0.7, 0.9, 0.97, 0.995};
 constexpr double kQuantileWeights[] = {0.2, 0.2, 0.2, 0.2, 0.13, 0.05, 0.02};
 
@@ -157,10 +161,11 @@
     std::string pace;
     Tenths started = 0, since = 0, turn = -1;  // since: when it fell silent
     int life = 0;
-    std::map<HostModel::Work, Index> works;  // connections (probes: with the top bit)
+    std::map<HostModel::Work, Index> works;  // connections being set up
     std::vector<Index> standing;             // connections, in the order they came
     std::vector<int> served;                 // clients served, by node's zone and traffic type
     int connections = 0;
+    std::deque<double> probed;            // ms, each second
     HostState told = HostState::healthy;  // what the list says now
   };
   struct Node {
@@ -537,12 +542,6 @@
       if (found == host.works.end()) continue;
       const Index what = found->second;
       host.works.erase(found);
-      if (what & kIsProbe) {
-        const Probe& probe = probes_[what & ~kIsProbe];
-        at(now_ + way(nodes_[probe.node], h), Kind::probe_over, what & ~kIsProbe, kNone,
-           static_cast<int>(Outcome::honoured));
-        continue;
-      }
       Conn& conn = conns_[what];
       conn.work = 0;
       if (!conn.at_host) continue;
@@ -693,6 +692,7 @@
     Event event;
     event.kind = EventKind::list_copy;
     event.listings = listings();
+    audit_.node_new(static_cast<int>(n));
     hears_list(n, event.listings);
     node.events.push_back(std::move(event));
     settle(n);
@@ -799,13 +799,15 @@
       return at(now_ + way(nodes_[probe.node], probe.host), Kind::probe_over, i, kNone,
                 static_cast<int>(Outcome::error));
     host.model.advance(now_);
-    host.works[host.model.add(scenario_.probe_ms / 1000)] = i | kIsProbe;
-    wake(probe.host);
+    at(now_ + from_ms(host.model.probe_ms()) + way(nodes_[probe.node], probe.host), Kind::probe_over, i,
+       kNone, static_cast<int>(Outcome::honoured));
   }
 
   void probe_over(Index i, Outcome outcome) {
     Probe& probe = probes_[i];
-    if (probe.over || (outcome == Outcome::honoured && answers_lost(probe.node, probe.host))) return;
+    if (probe.over || (outcome == Outcome::honoured &&
+                       (answers_lost(probe.node, probe.host) || hosts_[probe.host].life != probe.host_life)))
+      return;
     probe.over = true;
     Node& node = nodes_[probe.node];
     if (!node.alive || node.life != probe.node_life) return;
@@ -1017,9 +1019,7 @@
     for (const Index i : standing) host_ends(i, false);
     std::vector<Index> waiting;
     for (const auto& [work, what] : host.works) waiting.push_back(what);
-    for (const Index what : waiting)
-      if (!(what & kIsProbe)) host_ends(what, false);
-      else probe_over(what & ~kIsProbe, Outcome::lost);
+    for (const Index what : waiting) host_ends(what, false);
     host.works.clear();
   }
   void falls(Index h) {
@@ -1170,14 +1170,19 @@
 
   // What the real node measures by itself: slow messages by host, lines without an answer by connection.
   void tell_delays() {
+    for (Host& host : hosts_) {
+      if (host.is != HostIs::up) continue;
+      host.probed.push_back(host.model.probe_ms());
+      if (host.probed.size() > kProbesKept) host.probed.pop_front();
+    }
     for (Index n = 0; n < nodes_.size(); ++n) {
       Node& node = nodes_[n];
       if (!node.alive) continue;
       for (Index h = 0; h < hosts_.size(); ++h) {
         const Host& host = hosts_[h];
         if (host.is != HostIs::up || answers_lost(n, h)) continue;
-        const double delay =
-            host.model.delay_ms(0.5) + (node.zone == plan_.hosts[h].zone ? 0 : 2 * scenario_.cross_ms);
+        const double there = node.zone == plan_.hosts[h].zone ? 0 : 2 * scenario_.cross_ms;
+        const double delay = std::max(host.model.delay_ms(0.5) + there, probed_delay(h));
         const bool slow = delay > shortest_goal_ * kToldAt && node.standing[h] > 0;
         if (!slow && !node.slow[h]) continue;
         node.slow[h] = slow;
@@ -1199,6 +1204,15 @@
       }
     if (now_ < end_) at(now_ + kToldEvery, Kind::told);
   }
+  // As the node judges by what a probe takes over the least it has seen: docs/architecture.md.
+  double probed_delay(Index h) const {
+    const Host& host = hosts_[h];
+    if (host.probed.empty()) return 0;
+    const double least = *std::min_element(host.probed.begin(), host.probed.end());
+    const double waited = host.probed.back() - least;
+    const double stretched = kOwnPart * shortest_goal_ * host.probed.back() / std::max(least, 1e-3);
+    return waited > kNoiseMs ? std::max(waited, stretched) : waited;
+  }
   Tenths cut_since(const Conn& conn) const {
     Tenths since = 0;
     for (const PlannedTrouble& one : plan_.troubles)
@@ -1208,8 +1222,6 @@
     return since;
   }
 
-  static constexpr Index kIsProbe = 0x80000000;
-
   const Scenario& scenario_;
   std::uint64_t seed_;
   std::string policy_;
