--- a/src/fleet/live/hosts.cpp
+++ b/src/fleet/live/hosts.cpp
@@ -43,7 +43,7 @@
     long session = -1;
     double load = 0;
     HostModel::Work work = 0;
-    bool ran = false, ended = false, closes = false;
+    bool ran = false, ended = false, closes = false, told_over = false;
     Loop::Deadline change;
   };
   struct Door {  // of one host for one node
@@ -247,6 +247,8 @@
     if (line == "PING\r\n" || line == "STATS\r\n") return probed(ticket, conn);
     if (!line.starts_with("OPEN ") || !opened(conn, line)) return say(ticket, "SYNTAX\r\n");
     conn.phase = Conn::Phase::opening;
+    look_for_end(conn.id);
+    tries_[conn.id] = ticket;
     records_.add(stamp(), Seen::try_came, conn.id, conn.node, conn.host);
     const Tenths there = far(conn) ? from_ms(3 * scenario_.cross_ms) : 0;
     if (there > 0) later(ticket, there, [this, ticket] { set_up(ticket); });
@@ -256,6 +258,19 @@
     return plan_.hosts[static_cast<std::size_t>(conn.host)].zone != plan_.zone_of_node(conn.node, scenario_);
   }
 
+  // Danger: an earlier try that its node has ended seems to be out still, where its host does not read or its
+  // end has not been read yet.
+  void look_for_end(const std::string& id) {
+    const auto earlier = tries_.find(id);
+    Conn* conn = earlier == tries_.end() ? nullptr : conns_.find(earlier->second);
+    if (!conn || conn->phase != Conn::Phase::opening || conn->told_over) return;
+    char byte;
+    const ssize_t got = ::recv(conn->socket.number(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) return;
+    over(*conn, conn->ran);
+    conn->told_over = true;
+  }
+
   // Does something after a while unless the connection has gone or its host is another one.
   void later(Ticket ticket, Tenths after, std::function<void()> what) {
     const Conn* conn = conns_.find(ticket);
@@ -398,7 +413,8 @@
     if (conn->life == host.life) {
       host.model.advance(now());
       --host.connections;
-      if (conn->phase == Conn::Phase::opening) over(*conn, conn->ran);
+      if (conn->phase == Conn::Phase::opening && !conn->told_over) over(*conn, conn->ran);
+      if (const auto at = tries_.find(conn->id); at != tries_.end() && at->second == ticket) tries_.erase(at);
       if (conn->work) host.model.drop(conn->work), host.works.erase(conn->work);
       if (conn->phase == Conn::Phase::up) {
         host.model.leave(conn->load, session(*conn).group);
@@ -685,6 +701,7 @@
   Slots<Conn> conns_;
   Slots<Caller> callers_;
   std::map<std::string, long> sessions_;
+  std::map<std::string, Ticket> tries_;  // the last one of each attachment
   std::vector<int> cuts_, one_ways_;
   std::vector<std::pair<long, int>> changes_;
   long version_ = 1;
--- a/src/fleet/live/live.cpp
+++ b/src/fleet/live/live.cpp
@@ -26,6 +26,7 @@
 constexpr Tenths kBeginsAfter = 300 * kMs;  // the parts have read the beginning by then
 constexpr Tenths kSampleEvery = 250 * kMs;
 constexpr Tenths kEndsWithin = 20 * kSecond;
+constexpr int kFirstNet = 64, kNets = 180;
 constexpr double kAnswersS = 0.3;  // after the last expiry, for what is still on its way
 
 volatile std::sig_atomic_t interrupted = 0;
@@ -67,7 +68,7 @@
   Live(const Scenario& scenario, const LiveOptions& options)
       : scenario_(scenario), options_(options), plan_(plan_of(scenario, options.seed)) {
     for (const int number : {SIGINT, SIGTERM, SIGHUP}) std::signal(number, on_signal);
-    street_.net = 64 + static_cast<int>(getpid()) % 180;
+    take_street();
     folder_ = options.out.empty() ? std::filesystem::temp_directory_path().string() +
                                         fmt::format("/dapplewharf-fleet-{}", getpid())
                                   : options.out + "/parts";
@@ -120,6 +121,14 @@
   }
 
  private:
+  // Runs side by side each have a network of their own, held by a listener for as long as they last.
+  void take_street() {
+    for (int i = 0; i < kNets; ++i) {
+      street_.net = kFirstNet + (static_cast<int>(getpid()) + i) % kNets;
+      if (street_.take(held_)) return;
+    }
+    throw RunFailed("no network of 127.64.0.0 to 127.243.0.0 is free for this run");
+  }
   // Danger: a run that is short of descriptors half-way measures that and nothing else.
   void check_room() {
     const auto wanted =
@@ -316,6 +325,7 @@
   LiveOptions options_;
   Plan plan_;
   Street street_;
+  Socket held_;
   std::string folder_;
   Loop loop_;
   Tenths begun_ = INT64_MAX / 2, late_ = 0;
--- a/src/fleet/live/part.cpp
+++ b/src/fleet/live/part.cpp
@@ -1,5 +1,6 @@
 #include <spdlog/fmt/fmt.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -20,6 +21,14 @@
 }
 std::string Street::list(int node) const { return fmt::format("127.{}.{}.1:8500", net, 1 + node); }
 
+bool Street::take(Socket& held) const {
+  Socket made(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const sockaddr_in at = *address_of(fmt::format("127.{}.255.254:7999", net));
+  if (!made || bind(made.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) return false;
+  held = std::move(made);
+  return true;
+}
+
 Part::Part(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie)
     : scenario_(scenario), plan_(plan), street_(street), tie_(std::move(tie)) {}
 
--- a/src/fleet/live/parts.h
+++ b/src/fleet/live/parts.h
@@ -18,6 +18,7 @@
   std::string node(int node) const;
   std::string host(int host, int node) const;  // as that node is told
   std::string list(int node) const;
+  bool take(Socket& held) const;  // false: another run has it
 };
 
 // What a part and its parent say to each other: the part writes 'r' once it is ready and reads the run's
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -16,9 +16,21 @@
 
 namespace {
 
-int sim(const std::string& file, std::uint64_t seed, const std::string& out, const std::string& policy,
-        bool json) {
-  const Scenario scenario = read_scenario(file);
+using Values = std::vector<std::string>;
+
+Scenario scenario_with(const std::string& file, const Values& values) {
+  Scenario scenario = read_scenario(file);
+  for (const std::string& one : values) {
+    const auto [name, given] = vary_of(one);
+    if (given.size() != 1) throw BadInput("--set:0:0: '" + one + "' has several values; expected NAME=VALUE");
+    vary(scenario, name, given.front());
+  }
+  return scenario;
+}
+
+int sim(const std::string& file, const Values& values, std::uint64_t seed, const std::string& out,
+        const std::string& policy, bool json) {
+  const Scenario scenario = scenario_with(file, values);
   if (!is_policy(policy)) {
     std::string names;
     for (const std::string& name : policy_names()) names += (names.empty() ? "" : ", ") + name;
@@ -38,8 +50,8 @@
   return result.broken() ? 3 : 0;
 }
 
-int live(const std::string& file, const LiveOptions& options, bool json) {
-  const Scenario scenario = read_scenario(file);
+int live(const std::string& file, const Values& values, const LiveOptions& options, bool json) {
+  const Scenario scenario = scenario_with(file, values);
   check_folder(options.out);
   const Result result = play_live(scenario, options);
   if (!options.out.empty()) write_result(result, options.out);
@@ -63,6 +75,7 @@
   app.require_subcommand(1);
   std::string file, out, policy = "dapplewharf";
   std::uint64_t seed = 1;
+  Values values;
   bool json = false;
   auto* check = app.add_subcommand("check", "Reads a scenario and says what is wrong with it.");
   check->add_option("SCENARIO", file, "a TOML file, see docs/scenario.md")->required();
@@ -70,6 +83,7 @@
   auto* simulated = app.add_subcommand("sim", "Plays a scenario in virtual time.");
   simulated->add_option("SCENARIO", file)->required();
   simulated->add_option("--seed", seed, "what chance is drawn from");
+  simulated->add_option("--set", values, "NAME=VALUE in place of the scenario's; may be said again");
   simulated->add_option("--out", out, "folder for report.json");
   simulated->add_option("--policy", policy, "who decides");
   simulated->add_flag("--json", json, "the report to standard output");
@@ -80,6 +94,7 @@
   auto* lived = app.add_subcommand("live", "Plays a scenario on loopback sockets, around the real node.");
   lived->add_option("SCENARIO", file)->required();
   lived->add_option("--seed", options.seed, "what chance is drawn from");
+  lived->add_option("--set", values, "NAME=VALUE in place of the scenario's; may be said again");
   lived->add_option("--out", options.out, "folder for report.json, the nodes' logs and configurations");
   lived->add_option("--node", options.node, "the program of a node");
   lived->add_flag("--json", json, "the report to standard output");
@@ -115,9 +130,9 @@
   }
   try {
     if (*check) return read_scenario(file), std::cout << file << ": good\n", 0;
-    if (*simulated) return sim(file, seed, out, policy, json);
+    if (*simulated) return sim(file, values, seed, out, policy, json);
     options.progress = isatty(STDERR_FILENO) != 0;
-    if (*lived) return live(file, options, json);
+    if (*lived) return live(file, values, options, json);
     if (*swept) {
       for (const std::string& one : vary) grid.vary.push_back(vary_of(one));
       std::tie(grid.first, grid.last) = seeds_of(seeds);
--- a/src/fleet/sim/policy.cpp
+++ b/src/fleet/sim/policy.cpp
@@ -10,7 +10,11 @@
 namespace {
 
 constexpr Tenths kAskAgain = kSecond;
-constexpr int kPoints = 60;  // of a host of size 1, on the plain ring
+constexpr Tenths kLook = 250 * kMs;  // the one that knows the truth looks so often
+constexpr double kFullAt = 0.95;     // and eases hosts whose load is over this,
+constexpr double kEased = 0.1;       // by so much of what they hold
+constexpr double kHome = 0.25;       // a host that holds some of the group is as good as one so much emptier
+constexpr int kPoints = 60;          // of a host of size 1, on the plain ring
 
 const std::pair<const char*, Fault> kFaulty[] = {
     {"faulty-drops-answer", Fault::drops_answer}, {"faulty-answers-twice", Fault::answers_twice},
@@ -31,6 +35,7 @@
 };
 
 // The baselines: no probes, no scores, no moves but off hosts that leave; only the order of hosts differs.
+// The one that knows the truth also eases hosts that are full.
 class Baseline : public Policy {
  public:
   Baseline(std::string name, const Settings& settings, std::uint64_t seed, Truth truth)
@@ -63,11 +68,14 @@
 
   void happened(const Event& event) {
     switch (event.kind) {
-      case EventKind::list_copy: listed(event), act(ActionKind::subscribe, ""); break;
+      case EventKind::list_copy:
+        listed(event), act(ActionKind::subscribe, "");
+        if (name_ == "truth") look_again();
+        break;
       case EventKind::list_whole: hosts_gone(event), listed(event); break;
       case EventKind::list_changes: listed(event); break;
       case EventKind::list_lost: act(ActionKind::set_alarm, "", "", kAskAgain); break;
-      case EventKind::alarm: act(ActionKind::subscribe, ""); break;
+      case EventKind::alarm: event.number == kLooks ? ease() : act(ActionKind::subscribe, ""); break;
       case EventKind::stopping: move_all(""); break;
       case EventKind::attachment: held_[event.id].event = event, ask(event.id); break;
       case EventKind::established: held_[event.id].standing = true; break;
@@ -89,6 +97,28 @@
                        [&id = id](const Listing& one) { return one.host == id; }))
         known.listing.state = HostState::gone;
   }
+  // What stands on hosts that are dead or too full goes elsewhere, a part at a time.
+  void ease() {
+    look_again();
+    for (const auto& [host, known] : hosts_) {
+      const double load = truth_(host);
+      if (load <= kFullAt) continue;
+      int left = load > 1e6 ? INT32_MAX : static_cast<int>(kEased * known.open);
+      for (const auto& [id, held] : held_)
+        if (held.standing && held.tried.back() == host && left-- > 0) act(ActionKind::move, id, host);
+    }
+  }
+  void look_again() {
+    act(ActionKind::set_alarm, "", "", kLook);
+    actions_.back().number = kLooks;
+  }
+  bool home(const Held& asks, const std::string& host) const {
+    if (!asks.event.group) return false;
+    return std::any_of(held_.begin(), held_.end(), [&](const auto& one) {
+      return one.second.standing && one.second.event.group == asks.event.group &&
+             one.second.tried.back() == host;
+    });
+  }
   void move_all(const std::string& host) {
     for (const auto& [id, held] : held_)
       if (held.standing && (host.empty() || held.tried.back() == host))
@@ -134,7 +164,8 @@
     if (fault_ == Fault::heaps_on_cold) return -static_cast<double>(known.listing.started);
     const double again = std::count(held.tried.begin(), held.tried.end(), id) ? 1e9 : 0;
     const double far = known.listing.zone == text(settings_, "zone") ? 0 : 1;
-    if (name_ == "truth") return again + truth_(id) + 0.3 * far + known.open * 1e-6;
+    if (name_ == "truth")
+      return again + truth_(id) + 0.3 * far - (home(held, id) ? kHome : 0) + known.open * 1e-6;
     if (name_ == "fewest") return again + 1e6 * far + known.open / std::max(known.listing.size, 1e-6);
     if (name_ == "ring") {
       const Event& event = held.event;
@@ -161,6 +192,7 @@
     return best;
   }
 
+  static constexpr int kLooks = 1;  // number of the alarm
   std::string name_;
   Fault fault_;
   const Settings settings_;
