--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Build, demo, test, lint and run. CI calls .ci/run, which ends in `make test`'s script.
 BUILD ?= build
 TOOLS ?= build-tools
-NODE_NEEDS = cmake g++ make nlohmann-json3-dev libspdlog-dev
-TOOL_NEEDS = $(NODE_NEEDS) libcli11-dev libtomlplusplus-dev libpcg-cpp-dev libxxhash-dev libboost-dev gnuplot-nox
-TEST_NEEDS = $(TOOL_NEEDS) libgtest-dev procps
+NODE_NEEDS = cmake g++ make nlohmann-json3-dev libspdlog-dev tao-pegtl-dev libcli11-dev
+TOOL_NEEDS = $(NODE_NEEDS) libtomlplusplus-dev libpcg-cpp-dev libxxhash-dev libboost-dev gnuplot-nox
+TEST_NEEDS = $(TOOL_NEEDS) libgtest-dev librapidcheck-dev procps clang libclang-rt-14-dev
 
-.PHONY: build tools demo test needs lint format run clean
+.PHONY: build tools demo test fuzz needs lint format run clean
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
 	cmake --build $(BUILD) -j4
@@ -24,6 +24,9 @@
 test: needs
 	tests/run.sh
 
+fuzz: needs
+	tools/fuzz.sh $(or $(FOR),60)
+
 needs:
 	@tools/install.sh $(TEST_NEEDS)
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,12 +2,14 @@
 
 #include <poll.h>
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <memory>
+#include <nlohmann/json.hpp>
 
 namespace dapplewharf {
 namespace {
@@ -38,12 +40,51 @@
   std::size_t dropped_ = 0;
 };
 
+constexpr const char* kPattern = "%Y-%m-%dT%H:%M:%S.%e %l %v";
+
+// One object a line, whatever the message holds.
+class JsonFormatter : public spdlog::formatter {
+ public:
+  void format(const spdlog::details::log_msg& message, spdlog::memory_buf_t& to) override {
+    spdlog::memory_buf_t time;
+    time_.format(message, time);
+    const auto level = spdlog::level::to_string_view(message.level);
+    const nlohmann::json line = {
+        {"time", std::string(time.data(), time.size())},
+        {"level", std::string(level.data(), level.size())},
+        {"package", std::string(message.logger_name.data(), message.logger_name.size())},
+        {"message", std::string(message.payload.data(), message.payload.size())}};
+    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    to.append(text.data(), text.data() + text.size());
+  }
+  std::unique_ptr<spdlog::formatter> clone() const override { return std::make_unique<JsonFormatter>(); }
+
+ private:
+  spdlog::pattern_formatter time_{"%Y-%m-%dT%H:%M:%S.%e", spdlog::pattern_time_type::local, ""};
+};
+
+std::shared_ptr<spdlog::logger> node_log, decision_log;
+
 }  // namespace
 
 void open_log() {
-  auto logger = std::make_shared<spdlog::logger>("dapplewharf", std::make_shared<PatientSink>());
-  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
-  spdlog::set_default_logger(std::move(logger));
+  const auto sink = std::make_shared<PatientSink>();  // one for both, so that lines stay in order
+  node_log = std::make_shared<spdlog::logger>("node", sink);
+  decision_log = std::make_shared<spdlog::logger>("decisions", sink);
+  spdlog::set_default_logger(node_log);
+  set_log({});
+}
+
+void set_log(const LogSettings& settings) {
+  if (!node_log) return;
+  if (settings.json) node_log->set_formatter(std::make_unique<JsonFormatter>());
+  else node_log->set_pattern(kPattern);
+  node_log->set_level(spdlog::level::from_str(settings.level));
+  decision_log->set_level(spdlog::level::from_str(settings.decisions));
+}
+
+void log_decision(const std::string& line) {
+  (decision_log ? decision_log.get() : spdlog::default_logger_raw())->info("{}", line);
 }
 
 }  // namespace dapplewharf
--- a/src/fleet/live/clients.cpp
+++ b/src/fleet/live/clients.cpp
@@ -39,7 +39,8 @@
     Loop::Deadline comes, expires, leaves, speaks;
     std::deque<std::pair<std::string, Tenths>> lines;  // sent and not yet back
     Tenths line_at = 0;                                // when the last one went
-    bool line_good = false;
+    bool line_good = false, quiet = false;
+    Tenths credited = 0;  // until when its time has been counted
     long number = 0;
   };
   struct Node {
@@ -168,8 +169,9 @@
     client.in.clear(), client.lines.clear();
     client.waiting = true, client.written = client.closing = false;
     client.sent = now();
-    if (dial(*address_of(street_.node(client.node)), 1 << 20, 0, client.socket) != Dial::begun)
-      return refused(i);
+    const Dial dialled = dial(*address_of(street_.node(client.node)), 1 << 20, 0, client.socket);
+    if (dialled == Dial::no_descriptor) starves();
+    if (dialled != Dial::begun) return refused(i);
     const int attempt = client.attempt;
     client.watched = loop_.watch(client.socket.number(), POLLOUT, [this, i, attempt](short what) {
       if (clients_[i].attempt == attempt) ready(i, what);
@@ -263,7 +265,7 @@
       records_.add(stamp(), Seen::set_up, "", client.node, static_cast<long>(now() - client.sent));
       client.failures = 0;
       client.standing = true;
-      client.line_at = 0;
+      client.line_at = 0, client.credited = now(), client.quiet = false;
       if (client.done) return close_by_client(i);
       return speak(i);
     }
@@ -278,10 +280,8 @@
     credit(i, now());
     const Tenths every = from_s(scenario_.line_every_s);
     at(client.speaks, now() + every, [this, i] { speak(i); });
-    if (hush()) {
-      client.line_at = 0;
-      return;
-    }
+    client.quiet = hush();
+    if (client.quiet) return;
     const std::uint64_t number = static_cast<std::uint64_t>(++client.number);
     const std::string line = fmt::format("{} {} {}\r\n", client.id.substr(0, 8), number,
                                          hex(XXH64(&number, sizeof number, session(i).seed)));
@@ -301,17 +301,12 @@
   // The time since the last line went counts as served if that one is back in time, or has still time to be.
   void credit(std::size_t i, Tenths until) {
     Client& client = clients_[i];
-    if (client.line_at == 0) {
-      if (hush())
-        records_.add(until, Seen::served, "", session(i).traffic,
-                     static_cast<long>(until - from_s(scenario_.line_every_s)), static_cast<long>(until));
-      return;
-    }
-    const bool good =
-        client.line_good || (!client.lines.empty() && client.lines.back().second == client.line_at &&
-                             until - client.line_at < from_ms(type_of(i).message_goal_ms));
-    if (good)
-      records_.add(until, Seen::served, "", session(i).traffic, static_cast<long>(client.line_at),
+    const Tenths from = std::exchange(client.credited, until);
+    const bool still = !client.lines.empty() && client.lines.back().second == client.line_at &&
+                       until - client.line_at < from_ms(type_of(i).message_goal_ms);
+    const bool good = client.quiet || (client.line_at != 0 && (client.line_good || still));
+    if (good && until > from)
+      records_.add(until, Seen::served, "", session(i).traffic, static_cast<long>(from),
                    static_cast<long>(until));
     client.line_at = 0;
   }
--- a/src/fleet/live/gather.cpp
+++ b/src/fleet/live/gather.cpp
@@ -114,6 +114,7 @@
     return false;
   };
 
+  bool starved = false;
   Audit audit(scenario, plan, static_cast<Tenths>(scenario.slack_ms * kMs));
   std::vector<std::vector<Tenths>> setups(static_cast<std::size_t>(scenario.nodes)), lines = setups;
   for (const Record& one : records) {
@@ -181,12 +182,15 @@
       case Seen::node_lost: audit.node_lost(a, one.when); break;
       case Seen::node_new: audit.node_new(a); break;
       case Seen::late: result.late_ms = std::max(result.late_ms, static_cast<double>(one.a) / kMs); break;
+      case Seen::starved: starved = true; break;
       case Seen::host_ended:
       case Seen::host_is: break;
     }
   }
   audit.finish(records.empty() ? 0 : records.back().when);
   result.take(audit);
+  if (starved)
+    result.void_because = "the rig ran out of descriptors, so it turned away what it should have served";
   if (result.late_ms * kMs > static_cast<double>(kLateVoid))
     result.void_because = "the rig was held up for " + std::to_string(static_cast<long>(result.late_ms)) +
                           " ms, so what it saw of others is no evidence";
--- a/src/fleet/live/hosts.cpp
+++ b/src/fleet/live/hosts.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <spdlog/fmt/fmt.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cmath>
@@ -196,7 +197,10 @@
     for (;;) {
       Socket taken(accept4(host.doors[static_cast<std::size_t>(n)].listener.number(), nullptr, nullptr,
                            SOCK_NONBLOCK | SOCK_CLOEXEC));
-      if (!taken) return;
+      if (!taken) {
+        if (errno == EMFILE || errno == ENFILE) starves();
+        return;
+      }
       if (host.connections >= scenario_.cap * plan_.hosts[static_cast<std::size_t>(h)].cores) {
         taken.abort();
         continue;
@@ -284,8 +288,11 @@
     if (line.size() < 5 + 16 + 1 + 16) return false;
     conn.id = line.substr(5, 16);
     const auto known = sessions_.find(line.substr(22, 16));
-    if (known == sessions_.end()) return false;
-    conn.session = known->second;
+    if (known == sessions_.end() && (!street_.anybody || plan_.sessions.empty())) return false;
+    conn.session =
+        known != sessions_.end()
+            ? known->second
+            : static_cast<long>(chance_of(conn.id, 11) * static_cast<double>(plan_.sessions.size()));
     return true;
   }
   const Session& session(const Conn& conn) const {
@@ -667,7 +674,7 @@
   void answer(Ticket ticket) {
     Caller* caller = callers_.find(ticket);
     if (!caller) return;
-    const bool whole = caller->after < 0 || caller->after > version_;
+    const bool whole = caller->after <= 0 || caller->after > version_;  // 0: knows nothing
     nlohmann::json list = nlohmann::json::array();
     std::vector<int> named;
     for (int h = 0; h < static_cast<int>(hosts_.size()); ++h) {
@@ -712,6 +719,16 @@
 
 }  // namespace
 
+int run_hosts_alone(const Scenario& scenario, const Plan& plan, int net, double for_s,
+                    const std::string& file) {
+  Street street;
+  street.net = net, street.anybody = true;
+  int ready[2], go[2];
+  const Tenths now = Loop::steady_now();
+  if (pipe(ready) != 0 || pipe(go) != 0 || write(go[1], &now, sizeof now) != sizeof now) return 1;
+  return run_hosts(scenario, plan, street, {ready[1], go[0], file}, for_s);
+}
+
 int run_hosts(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie, double for_s) {
   return Hosts(scenario, plan, street, std::move(tie)).run(for_s + kOutlasts);
 }
--- a/src/fleet/live/live.cpp
+++ b/src/fleet/live/live.cpp
@@ -131,9 +131,12 @@
   }
   // Danger: a run that is short of descriptors half-way measures that and nothing else.
   void check_room() {
-    const auto wanted =
-        static_cast<int>(2.2 * scenario_.standing + scenario_.hosts * scenario_.nodes * 2 + 300);
-    const int has = descriptor_limit(wanted);
+    double coming = scenario_.standing, lives = 0;  // at a time, at a party
+    for (const Session& one : plan_.sessions) lives += one.life_s;
+    coming = std::max(coming, lives / scenario_.duration_s);
+    coming = std::min(coming, static_cast<double>(plan_.sessions.size()));
+    const auto wanted = static_cast<int>(1.1 * coming + scenario_.hosts * scenario_.nodes * 2 + 200);
+    const int has = descriptor_limit(1 << 20);  // all that may be had: what a burst takes is not known
     if (has < wanted)
       throw RunFailed(
           fmt::format("this run wants {} descriptors in a process and may have {}; fewer clients.standing, "
--- a/src/fleet/live/part.cpp
+++ b/src/fleet/live/part.cpp
@@ -37,6 +37,10 @@
   at(one, when, std::move(due));
 }
 
+void Part::starves() {
+  if (!std::exchange(starved_, true)) records_.add(stamp(), Seen::starved, "");
+}
+
 void Part::beat() {
   loop_.at(beat_, loop_.now() + kBeat, [this] { beat(); });
   if (loop_.late() <= late_) return;
--- a/src/fleet/live/parts.h
+++ b/src/fleet/live/parts.h
@@ -15,6 +15,7 @@
 // Where everybody listens. `net` tells runs side by side apart: 127.net.0.0/16.
 struct Street {
   int net = 64;
+  bool anybody = false;  // hosts take clients that the plan does not know
   std::string node(int node) const;
   std::string host(int host, int node) const;  // as that node is told
   std::string list(int node) const;
@@ -48,6 +49,7 @@
     loop_.at(deadline, begun_ + when, std::move(due));
   }
   void once(Tenths when, Loop::Due due);
+  void starves();  // says once that no descriptor was left
   static Tenths from_s(double s) { return static_cast<Tenths>(s * kSecond); }
   static Tenths from_ms(double ms) { return static_cast<Tenths>(ms * kMs); }
 
@@ -63,9 +65,14 @@
   Tenths begun_ = INT64_MAX / 2;
   Loop::Deadline beat_;
   Tenths late_ = 0;
+  bool starved_ = false;
 };
 
 int run_hosts(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie, double for_s);
+// The hosts and their list by themselves, for whatever program asks them; 127.net.1.1:8500 is the list of
+// node 0.
+int run_hosts_alone(const Scenario& scenario, const Plan& plan, int net, double for_s,
+                    const std::string& file);
 int run_clients(const Scenario& scenario, const Plan& plan, const Street& street, Tie tie, double for_s);
 
 }  // namespace dapplewharf::fleet
--- a/src/fleet/live/record.h
+++ b/src/fleet/live/record.h
@@ -31,6 +31,7 @@
   probe = 'q',       // host
   node_lost = 'k',   // node, killed
   node_new = 'f',    // node, started anew
+  starved = 'y',     // the process was out of descriptors
   late = 'z'         // the process, tenths
 };
 
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "fleet/live/live.h"
+#include "fleet/live/parts.h"
 #include "fleet/report/page.h"
 #include "fleet/sim/policy.h"
 #include "fleet/sim/sim.h"
@@ -99,6 +100,18 @@
   lived->add_option("--node", options.node, "the program of a node");
   lived->add_flag("--json", json, "the report to standard output");
   lived->footer("Example: dapplewharf_fleet live examples/scenarios/silent.toml --seed 3 --out out/silent");
+  int net = 245;
+  double for_s = 60;
+  std::string records;
+  auto* alone =
+      app.add_subcommand("hosts", "Plays only a scenario's hosts and their list, for programs of one's own.");
+  alone->add_option("SCENARIO", file)->required();
+  alone->add_option("--seed", options.seed, "what chance is drawn from");
+  alone->add_option("--net", net, "127.NET.1.1:8500 is the list")->check(CLI::Range(1, 254));
+  alone->add_option("--for", for_s, "seconds")->check(CLI::Range(0.1, 86400.0));
+  alone->add_option("--records", records, "file for what they have seen")->required();
+  alone->footer(
+      "Example: dapplewharf_fleet hosts examples/scenarios/small.toml --net 245 --for 30 --records seen");
   Sweep grid;
   std::vector<std::string> vary;
   std::string seeds = "1..10", policies = "dapplewharf";
@@ -133,6 +146,10 @@
     if (*simulated) return sim(file, values, seed, out, policy, json);
     options.progress = isatty(STDERR_FILENO) != 0;
     if (*lived) return live(file, values, options, json);
+    if (*alone) {
+      const Scenario scenario = read_scenario(file);
+      return run_hosts_alone(scenario, plan_of(scenario, options.seed), net, for_s, records);
+    }
     if (*swept) {
       for (const std::string& one : vary) grid.vary.push_back(vary_of(one));
       std::tie(grid.first, grid.last) = seeds_of(seeds);
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -8,6 +8,7 @@
 #include "base/socket.h"
 #include "choice.h"
 #include "settings.h"
+#include "sidecar/render.h"
 
 using nlohmann::json;
 
@@ -24,12 +25,34 @@
   return from[name].get<std::string>();
 }
 
-Configuration checked(const std::string& path, Source source) {
+json platform_file(const std::string& path) {
   if (path.empty()) throw std::runtime_error("PROXY_CONFIG is not set");
   std::ifstream file(path);
   if (!file) throw std::runtime_error("PROXY_CONFIG cannot be read: " + path);
-  const json from = json::parse(file, nullptr, false);
+  json from = json::parse(file, nullptr, false);
   if (!from.is_object()) throw std::runtime_error("PROXY_CONFIG is no JSON object: " + path);
+  return from;
+}
+
+// Danger: a file that is half right is not taken by halves.
+sidecar::Document good_one(const std::string& path, sidecar::Use use) {
+  sidecar::Document document = sidecar::load(path, use);
+  std::size_t errors = 0;
+  const sidecar::Fault* first = nullptr;
+  for (const sidecar::Fault& fault : document.faults)
+    if (!fault.warning && errors++ == 0) first = &fault;
+  if (!first) return document;
+  throw std::runtime_error(
+      sidecar::told(document, *first, false) +
+      (errors > 1 ? " (and " + std::to_string(errors - 1) + " more; --check tells all)" : ""));
+}
+
+void take_log(const sidecar::Document& document, LogSettings& to) {
+  const sidecar::Block* log = document.find("log");
+  if (log) to = {log->word("format") == "json", log->word("level"), log->word("decisions")};
+}
+
+Configuration checked(const json& from, Source source) {
   Configuration to;
   to.name = told(from, source, "PROXY_NAME", "name");
   to.listen = told(from, source, "PROXY_LISTEN", "listen");
@@ -60,10 +83,37 @@
 
 }  // namespace
 
-Read read_configuration(const std::string& path, Source source) {
+Read read_configuration(const Files& files, Source source) {
   try {
-    return {checked(path, source), ""};
+    LogSettings log;
+    json from;
+    if (files.language.empty()) from = platform_file(files.json);
+    else {
+      const sidecar::Document document = good_one(files.language, sidecar::Use::sidecar);
+      from = sidecar::render(document);
+      take_log(document, log);
+      source = Source::file_only;  // the environment is the platform's
+    }
+    if (!files.operators.empty()) take_log(good_one(files.operators, sidecar::Use::operators), log);
+    Read read{checked(from, source), ""};
+    read.taken->log = log;
+    return read;
   } catch (const std::exception& error) { return {std::nullopt, error.what()}; }
 }
 
+Read read_configuration(const std::string& json_path, Source source) {
+  return read_configuration(Files{json_path, "", ""}, source);
+}
+
+std::string told_whole(const Files& files) {
+  std::string out;
+  for (const auto& [path, use] : {std::pair(files.language, sidecar::Use::sidecar),
+                                  std::pair(files.operators, sidecar::Use::operators)}) {
+    if (path.empty()) continue;
+    const sidecar::Document document = sidecar::load(path, use);
+    for (const sidecar::Fault& fault : document.faults) out += sidecar::told(document, fault, true) + "\n";
+  }
+  return out;
+}
+
 }  // namespace dapplewharf
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/log.h"
 #include "words.h"
 
 namespace dapplewharf {
@@ -14,6 +15,13 @@
   std::uint64_t seed = 0;
   int descriptors = 1024;
   nlohmann::json known, env;  // the list as last had; the settings
+  LogSettings log;
+};
+
+// Where a configuration is read from: the platform's JSON or a file in the operators' language, and the
+// operators' own file beside it, if there is one.
+struct Files {
+  std::string json, language, operators;
 };
 
 struct Read {
@@ -21,8 +29,14 @@
   std::string fault;  // what is wrong, where there is none
 };
 
-// At the start what the environment says goes before the file; at a reload it is stale and the file holds.
+// At the start what the environment says goes before the platform's file; at a reload it is stale and the
+// file holds.
 enum class Source { environment_first, file_only };
-Read read_configuration(const std::string& path, Source source);
+Read read_configuration(const Files& files, Source source);
+Read read_configuration(const std::string& json, Source source);  // the platform's file alone
+
+// All faults and warnings of the files in the language, for people; what read_configuration says is the first
+// fault.
+std::string told_whole(const Files& files);
 
 }  // namespace dapplewharf
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -41,7 +41,7 @@
   };
   Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits, Heard heard);
 
-  void knows(std::int64_t version) { version_ = version; }
+  void knows(std::int64_t version) { version_ = version, anew_ = false; }
   void watch();  // from here on, until it is lost
   void fetch();  // the whole list, once
   // Another place from now on: what is out at the old one is given up, the list there is asked for whole.
@@ -65,7 +65,7 @@
   Heard heard_;
   std::int64_t version_ = 0;
   bool watching_ = false, fetching_ = false;  // wanted
-  bool anew_ = false;                         // nothing has come from this place yet
+  bool anew_ = true;                          // nothing is known of this place yet
   bool out_ = false, stale_ = false;          // a call is out; on a connection that served an earlier one
   Tenths called_at_ = 0;
   Socket socket_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -27,23 +28,61 @@
   errno = kept;
 }
 
+constexpr const char* kVersion = "0.2.0";
+
+// The files to read, or the exit code of a call that only asks something.
+struct Asked {
+  Files files;
+  std::optional<int> code;
+};
+Asked asked_of(int count, char** words) {
+  Asked out;
+  CLI::App app(
+      "A balancer for long-lived connections. Without arguments it reads the JSON that PROXY_CONFIG names.");
+  bool only_check = false;
+  app.add_option("--config", out.files.language,
+                 "a configuration in the operators' language, in place of PROXY_CONFIG");
+  app.add_option("--operator", out.files.operators, "the operators' own settings, beside the configuration");
+  app.add_flag("--check", only_check, "only checks; exit 0 good, 2 faulty");
+  app.set_version_flag("--version", std::string("dapplewharf ") + kVersion);
+  app.footer("Example: dapplewharf --config host-floor.dw --check");
+  try {
+    app.parse(count, words);
+  } catch (const CLI::Success& answered) {
+    return {{}, app.exit(answered)};
+  } catch (const CLI::ParseError& error) {
+    std::cerr << "dapplewharf:0:0: " << error.what() << "; expected arguments as --help shows" << std::endl;
+    return {{}, 2};
+  }
+  const char* variable = std::getenv("PROXY_CONFIG");
+  out.files.json = variable ? variable : "";
+  if (!only_check) return out;
+  std::cerr << told_whole(out.files);
+  const Read read = read_configuration(out.files, Source::environment_first);
+  if (!read.taken && out.files.language.empty()) std::cerr << "dapplewharf: " << read.fault << std::endl;
+  if (read.taken) std::cout << "the configuration is good" << std::endl;
+  out.code = read.taken ? 0 : 2;
+  return out;
+}
+
 }  // namespace
 
-int main() {
+int main(int count, char** words) {
+  const Asked asked = asked_of(count, words);
+  if (asked.code) return *asked.code;
   open_log();
   try {
     if (pipe2(signal_pipe, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for signals");
     // Danger: a SIGHUP that comes before the node is ready would end it.
     for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) std::signal(number, on_signal);
     std::signal(SIGPIPE, SIG_IGN);
-    const char* variable = std::getenv("PROXY_CONFIG");
-    const std::string path = variable ? variable : "";
-    Read first = read_configuration(path, Source::environment_first);
+    Read first = read_configuration(asked.files, Source::environment_first);
     if (!first.taken) throw std::runtime_error(first.fault);
     first.taken->descriptors = descriptor_limit(first.taken->descriptors);
+    set_log(first.taken->log);
     Loop loop;
     Node node(loop, std::move(*first.taken));
-    loop.watch(signal_pipe[0], POLLIN, [&node, &path](short) {
+    loop.watch(signal_pipe[0], POLLIN, [&node, &asked](short) {
       char bytes[64];
       const ssize_t got = read(signal_pipe[0], bytes, sizeof bytes);
       bool anew = false;  // however many came: the file as it is now is what counts
@@ -51,7 +90,7 @@
         if (bytes[i] == SIGUSR1) node.report();
         else if (bytes[i] == SIGHUP) anew = true;
         else node.stop();
-      if (anew) node.reload(read_configuration(path, Source::file_only));
+      if (anew) node.reload(read_configuration(asked.files, Source::file_only));
     });
     if (const auto fault = node.start()) throw std::runtime_error("'listen' cannot be used: " + *fault);
     spdlog::info("started");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -156,9 +156,12 @@
 std::optional<std::string> Node::start() {
   List known;
   try {
-    if (!configuration_.known.is_null())
+    // Without a list to go on from the first call is for the whole one: changes since nothing may leave hosts
+    // out.
+    if (!configuration_.known.is_null()) {
       known = list_of(configuration_.known, discovery_.starts, loop_.now(), Loop::unix_now());
-    discovery_.knows(known.version);
+      discovery_.knows(known.version);
+    }
   } catch (const std::exception& error) {
     spdlog::warn("the list known before is not usable: {}", error.what());
   }
@@ -355,7 +358,7 @@
     }
     case ActionKind::subscribe: return discovery_.watch();
     case ActionKind::fetch_list: return discovery_.fetch();
-    case ActionKind::log: return spdlog::info("{}", action.text);
+    case ActionKind::log: return log_decision(action.text);
   }
 }
 
@@ -383,6 +386,7 @@
   configuration_.descriptors = descriptor_limit(configuration_.descriptors);
   settings_ = settings_of(configuration_.env);
   choice_.adopt(settings_);
+  set_log(configuration_.log);
   take_settings();
   discovery_.move_to(configuration_.discovery);
   spdlog::info("configuration taken anew, discovery {}", configuration_.discovery);
--- /dev/null
+++ b/src/sidecar/profiles.h
@@ -0,0 +1,11 @@
+// The profiles that new configurations are written from: files in the language, put into the program when it
+// is built.
+#pragma once
+#include <map>
+#include <string>
+
+namespace dapplewharf::sidecar {
+
+const std::map<std::string, std::string>& profiles();  // names and texts
+
+}  // namespace dapplewharf::sidecar
--- /dev/null
+++ b/src/sidecar/render.h
@@ -0,0 +1,26 @@
+// Between the language and the JSON that the node reads: by the schema's table both ways. Owns nothing; reads
+// no files.
+#pragma once
+#include <nlohmann/json.hpp>
+
+#include "sidecar/document.h"
+
+namespace dapplewharf::sidecar {
+
+nlohmann::json render(const Document& document);  // of a good one
+
+struct Imported {
+  std::string text;                   // in the language, formatted
+  std::vector<std::string> left_out;  // places in the JSON that the language has no setting for
+  std::string fault;                  // why nothing could be made of it
+};
+Imported import(const nlohmann::json& from);
+
+// What two good documents mean differently.
+struct Difference {
+  std::string name, before, after;  // "" where there is none
+  bool reload = true;               // whether a reload takes it
+};
+std::vector<Difference> differences(const Document& before, const Document& after);
+
+}  // namespace dapplewharf::sidecar
--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -27,6 +27,7 @@
   const char* policy;
   Rule rule;
 };
+void PrintTo(const Breach& breach, std::ostream* out) { *out << breach.policy; }
 class FaultyPolicy : public testing::TestWithParam<Breach> {};
 
 TEST_P(FaultyPolicy, IsFound) {
--- /dev/null
+++ b/tools/fuzz.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds the fuzzer of the configuration language with clang and runs it for some seconds over its corpus. Crashes are
+# left in build-fuzz/.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p build-fuzz/found
+clang++ -std=c++20 -O1 -g -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all -Isrc tests/sidecar/fuzz.cpp \
+  src/sidecar/language.cpp src/sidecar/schema.cpp src/sidecar/document.cpp src/sidecar/render.cpp -o build-fuzz/sidecar
+exec build-fuzz/sidecar -max_total_time="${1:-60}" -max_len=8192 -timeout=5 -seed=1 -print_final_stats=1 \
+  -artifact_prefix=build-fuzz/ build-fuzz/found tests/sidecar/corpus tests/sidecar/faulty
