--- a/src/fleet/live/hosts.cpp
+++ b/src/fleet/live/hosts.cpp
@@ -558,9 +558,7 @@
     tell_list(h, "draining", scenario_.list_late_s);
     const int life = host.life;
     if (host.pace != "none") once(now() + from_s(scenario_.list_late_s), [this, h, life] { paced(h, life); });
-    const double lasts =
-        trouble.every_s > 0 ? std::min(trouble.for_s, std::max(4.0, 2 * trouble.every_s)) : trouble.for_s;
-    once(now() + from_s(lasts), [this, h, life] { back(h, life); });
+    once(now() + from_s(drain_lasts_s(trouble)), [this, h, life] { back(h, life); });
   }
   void paced(int h, int life) {
     Host& host = *hosts_[static_cast<std::size_t>(h)];
--- a/src/fleet/live/live.cpp
+++ b/src/fleet/live/live.cpp
@@ -112,6 +112,8 @@
     }
     for (const Process& part : parts_)
       if (part.status != 0) throw RunFailed("a part of the rig failed");
+    for (Process& node : nodes_) node.end(SIGUSR1);  // its counters, into its log
+    poll(nullptr, 0, 150);
     Gathered gathered{std::move(records_), std::move(samples_)};
     for (const char* part : {"hosts", "clients"})
       for (Record& one : Records::read(folder_ + "/" + part + ".records"))
--- a/src/fleet/model/plan.cpp
+++ b/src/fleet/model/plan.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr double kLongWait = 5000;  // ms, of a client whose tries are used up
+constexpr double kLeastDrain = 4;   // s, that a host drains before the next is half through
 constexpr double kAtOnce = 5;       // ms, of one that comes again at once
 
 template <class Things>
@@ -182,6 +183,11 @@
   return plan;
 }
 
+double drain_lasts_s(const Trouble& trouble) {
+  if (trouble.every_s <= 0) return trouble.for_s;
+  return std::min(trouble.for_s, std::max(kLeastDrain, 2 * trouble.every_s));
+}
+
 double load_at(const Scenario& scenario, const Session& session, double since_s) {
   const auto epoch = static_cast<std::uint64_t>(std::max(0.0, since_s) / scenario.change_s);
   if (scenario.swing == 0) return session.load;
--- a/src/fleet/model/plan.h
+++ b/src/fleet/model/plan.h
@@ -44,6 +44,9 @@
 
 Plan plan_of(const Scenario& scenario, std::uint64_t seed);
 
+// How long each host of a drain is away: all of the span, or in a row with the others.
+double drain_lasts_s(const Trouble& trouble);
+
 // A connection's load at a time of its session, in mean connections.
 double load_at(const Scenario& scenario, const Session& session, double since_s);
 
--- a/src/fleet/sim/sim.cpp
+++ b/src/fleet/sim/sim.cpp
@@ -1047,9 +1047,7 @@
     host.pace = trouble.pace;
     tell_list(h, HostState::draining, scenario_.list_late_s);
     if (host.pace != "none") at(now_ + from_s(scenario_.list_late_s), Kind::paced, h, kNone, host.life);
-    const double lasts =
-        trouble.every_s > 0 ? std::min(trouble.for_s, std::max(4.0, 2 * trouble.every_s)) : trouble.for_s;
-    at(now_ + from_s(lasts), Kind::host_back, h, kNone, host.life);
+    at(now_ + from_s(drain_lasts_s(trouble)), Kind::host_back, h, kNone, host.life);
   }
   void paced(Index h, int life) {
     Host& host = hosts_[h];
--- a/src/sidecar/render.cpp
+++ b/src/sidecar/render.cpp
@@ -169,6 +169,27 @@
   return out;
 }
 
+std::vector<Fault> beyond(const Document& document, const json& platform) {
+  std::vector<Fault> out;
+  for (const auto& [block_name, name] :
+       {std::pair("rules", "drain_grace"), std::pair("rules", "grace_to_answer"),
+        std::pair("rules", "fall_multiple"), std::pair("limits", "descriptors"),
+        std::pair("limits", "memory"), std::pair("limits", "cores"), std::pair("limits", "tries"),
+        std::pair("limits", "come_back")}) {
+    const Block* block = document.find(block_name);
+    const Setting* own = block ? block->find(name) : nullptr;
+    const Row& row = *row_of(block_name, name);
+    const json::json_pointer at(where(row, 0).pointer);
+    if (!own || !platform.contains(at) || !platform.at(at).is_number()) continue;
+    const double granted = platform.at(at).get<double>();
+    if (json_of(own->value).get<double>() > granted + 1e-9)
+      out.push_back({own->value.place, "'" + std::string(name) + "' is " + own->value.raw +
+                                           ", the platform grants " + text_of(row, granted) +
+                                           "; expected no more"});
+  }
+  return out;
+}
+
 std::vector<Difference> differences(const Document& before, const Document& after) {
   std::vector<Difference> out;
   const auto text = [](const Block* block, const Row& row) -> std::string {
--- a/src/sidecar/render.h
+++ b/src/sidecar/render.h
@@ -16,6 +16,9 @@
 };
 Imported import(const nlohmann::json& from);
 
+// What a document takes that the platform's own configuration, as JSON, does not grant.
+std::vector<Fault> beyond(const Document& document, const nlohmann::json& platform);
+
 // What two good documents mean differently.
 struct Difference {
   std::string name, before, after;  // "" where there is none
--- a/src/sidecar/tool.cpp
+++ b/src/sidecar/tool.cpp
@@ -90,7 +90,14 @@
   return most;
 }
 
-int check(const std::vector<std::string>& paths, bool operators, bool as_json) {
+json json_file(const std::string& path) {
+  json from = json::parse(read_file(path), nullptr, false);
+  if (from.is_discarded()) throw Unusable(path + ":0:0: this is no JSON; expected a node's configuration");
+  return from;
+}
+
+int check(const std::vector<std::string>& paths, bool operators, const std::string& platform, bool as_json) {
+  const json granted = platform.empty() ? json::object() : json_file(platform);
   std::vector<Document> documents;
   json out = json::array();
   bool good = true;
@@ -108,6 +115,7 @@
       if (folder && !operators && is_part(document)) continue;
       ++count;
       for (const Fault& fault : document.faults) tell(document, fault);
+      for (const Fault& fault : beyond(document, granted)) tell(document, fault);
       documents.push_back(std::move(document));
     }
   }
@@ -224,8 +232,7 @@
 }
 
 int import_file(const std::string& path) {
-  const json from = json::parse(read_file(path), nullptr, false);
-  if (from.is_discarded()) throw Unusable(path + ":0:0: this is no JSON; expected a node's configuration");
+  const json from = json_file(path);
   const Imported made = import(from);
   if (!made.fault.empty()) throw Unusable(path + ":0:0: " + made.fault);
   std::cout << made.text;
@@ -304,7 +311,7 @@
   app.require_subcommand(1);
   auto* config = app.add_subcommand("config", "Writes, checks, formats and compares configurations.");
   config->require_subcommand(1);
-  std::string application, profile, out, file, other, name, shell;
+  std::string application, profile, out, file, other, name, shell, platform;
   std::vector<std::string> paths;
   bool as_json = false, only_check = false, operators = false;
   auto* made = config->add_subcommand("new", "Writes a commented configuration for an application.");
@@ -318,6 +325,7 @@
   checked->add_flag("--json", as_json, "for machines");
   checked->add_flag("--operator", operators,
                     "operators' own files, which stand beside the platform's configuration");
+  checked->add_option("--platform", platform, "the platform's JSON: nothing may go beyond what it grants");
   checked->footer("Example: dapplewharfctl config check sidecars/");
   auto* formatted = config->add_subcommand("fmt", "Writes files anew in the one form.");
   formatted->add_option("FILE", paths)->required();
@@ -350,7 +358,7 @@
   }
   try {
     if (*made) return make(application, profile, out);
-    if (*checked) return check(paths, operators, as_json);
+    if (*checked) return check(paths, operators, platform, as_json);
     if (*formatted) return format_files(paths, only_check);
     if (*compared) return diff(file, other, as_json);
     if (*rendered) return std::cout << render(good_one(file)).dump(as_json ? -1 : 2) << "\n", kGood;
--- a/tests/fleet/live.sh
+++ b/tests/fleet/live.sh
@@ -41,6 +41,12 @@
 [ -e /dev/full ] && { mkdir -p "$dir/full"; ln -s /dev/full "$dir/full/report.json"
   "$fleet" sim "$scenario" --out "$dir/full" >"$dir/out" 2>"$dir/err"; one_line "cannot be written" 2 $?; }
 
+# A port in use.
+"$fleet" hosts "$scenario" --net 244 --for 2 --records "$dir/first" & first=$!
+sleep 0.5
+"$fleet" hosts "$scenario" --net 244 --for 1 --records "$dir/second" >"$dir/out" 2>"$dir/err"; one_line "cannot listen at" 1 $?
+wait $first || fail "the first of two hosts on one address"
+
 # A rig that was stopped for a second has seen nothing it can vouch for.
 "$fleet" live "$scenario" --node "$node" --out "$dir/stopped" >"$dir/out" 2>"$dir/err" &
 rig=$!
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -184,7 +184,7 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
-  explicit Net(int descriptors = 1024) {
+  explicit Net(int descriptors = 1024, bool knows_a_list = true) {
     hosts_at = listening(hosts);
     const std::string at = text_of(hosts_at);
     nlohmann::json list = nlohmann::json::array();
@@ -199,7 +199,7 @@
       front = listening(free);
     }
     to.listen = text_of(front);
-    to.known = {{"generation", 1}, {"reset", true}, {"instances", list}};
+    if (knows_a_list) to.known = {{"generation", 1}, {"reset", true}, {"instances", list}};
     to.env = nlohmann::json::parse(R"({"peersTotal": 1, "zone": "near", "discovery": "on_request",
       "guarantees": {"coldFrom": 0.3, "coldMs": 8000, "fallMs": 2000, "fallMultiple": 2.5, "stopSendingWithinMs": 1000},
       "bounds": {"maxAttempts": 4, "maxRetryAfterMs": 1500, "retryAfter": true, "probes": false, "dialTimeoutMs": 250},
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -264,6 +264,20 @@
   EXPECT_EQ(net.read(client).substr(0, 4), "BUSY");
 }
 
+TEST(Node, WithoutAListFromBeforeItAsksForTheWholeOne) {
+  Net net(1024, false);
+  EXPECT_TRUE(net.until([&] { return net.asked.find("\r\n\r\n") != std::string::npos; }, 1000));
+  EXPECT_EQ(net.asked.substr(0, 18), "GET /api/targets H") << "changes since nothing may leave hosts out";
+  net.answers = {Net::http(R"({"generation":9,"reset":true,"instances":[{"instanceId":"h0","hostPort":")" +
+                           Net::text_of(net.hosts_at) + R"(","zone":"near","lifecycle":"up"}]})")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+  EXPECT_TRUE(net.until([&] { return net.asked.find("after=9") != std::string::npos; }, 1000))
+      << "then it watches";
+  const int client = net.client(opening()), host = net.host_accepts();
+  net.write(host, "UP x\r\n");
+  EXPECT_EQ(net.read(client), "UP x\r\n");
+}
+
 TEST(Node, OutOfDescriptorsEveryClientStillGetsAnAnswer) {
   Net net(64);
   std::vector<int> clients;
--- a/tests/sidecar/language.cpp
+++ b/tests/sidecar/language.cpp
@@ -347,6 +347,20 @@
   EXPECT_TRUE(load(OPERATOR_FILE, Use::operators).good());
 }
 
+TEST(Platform, NothingGoesBeyondWhatItGrants) {
+  const Document document = load_text(kGood, "x.dw");
+  auto platform = render(document);
+  EXPECT_TRUE(beyond(document, platform).empty());
+  platform["settings"]["guarantees"]["stopSendingWithinMs"] = 1000;
+  platform["limits"]["sockets"] = 128, platform["limits"]["memory_mb"] = 16;
+  const auto found = beyond(document, platform);
+  ASSERT_EQ(found.size(), 3u);
+  EXPECT_EQ(found[0].what, "'drain_grace' is 1.5s, the platform grants 1s; expected no more");
+  EXPECT_EQ(found[1].what, "'descriptors' is 256, the platform grants 128; expected no more");
+  EXPECT_EQ(found[2].what, "'memory' is 32MiB, the platform grants 16MiB; expected no more");
+  EXPECT_TRUE(beyond(document, nlohmann::json::object()).empty());
+}
+
 TEST(Page, HasTheTableAndItsExamplesAreGood) {
   const std::string page = text_of(fs::path(DOCS) / "configuration.md");
   EXPECT_NE(page.find(reference()), std::string::npos)
