--- a/src/base/log.h
+++ b/src/base/log.h
@@ -9,8 +9,6 @@
   bool json = false;  // one object a line in place of a line of text
   std::string level = "info",
               decisions = "info";  // debug, info, warning, error or off; of the module's own lines
-
-  bool operator==(const LogSettings&) const = default;
 };
 
 void open_log();
--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -21,9 +21,9 @@
 
 Tenths Loop::steady_now() { return tenths<std::chrono::steady_clock>(); }
 
-Loop::Loop() : start_(unix_now() - tenths<std::chrono::steady_clock>()) { tick(); }
+Loop::Loop() : start_(unix_now() - steady_now()) { tick(); }
 
-void Loop::tick() { now_ = std::max(now_, start_ + tenths<std::chrono::steady_clock>()); }
+void Loop::tick() { now_ = std::max(now_, of_steady(steady_now())); }
 
 Ticket Loop::watch(int descriptor, short events, Ready ready) {
   return watched_.add({descriptor, events, std::move(ready)});
--- a/src/fleet/live/clients.cpp
+++ b/src/fleet/live/clients.cpp
@@ -35,7 +35,7 @@
     bool begun = false, done = false, waiting = false, standing = false, written = false, closing = false;
     int attempt = 0, failures = 0, node = -1;
     std::string id, in, out;
-    Tenths wish_until = 0, sent = 0;
+    Tenths begun_at = 0, wish_until = 0, sent = 0;
     Loop::Deadline comes, expires, leaves, speaks;
     std::deque<std::pair<std::string, Tenths>> lines;  // sent and not yet back
     Tenths line_at = 0;                                // when the last one went
@@ -158,9 +158,7 @@
       client.begun = true;
       client.wish_until = now() + from_s(session(i).life_s);
       once(client.wish_until, [this, i] { wish_over(i); });
-      client.sent = now();
-      begun_at_.resize(clients_.size());
-      begun_at_[i] = now();
+      client.begun_at = now();
     }
     if (now() >= from_s(scenario_.duration_s)) return;
     client.node = dealt_to(session(i).zone);
@@ -392,7 +390,7 @@
   }
   void wish_ends(std::size_t i, Tenths when) {
     if (std::exchange(clients_[i].done, true)) return;
-    records_.add(when, Seen::wanted, "", session(i).traffic, static_cast<long>(begun_at_[i]),
+    records_.add(when, Seen::wanted, "", session(i).traffic, static_cast<long>(clients_[i].begun_at),
                  static_cast<long>(when));
   }
   void drop(std::size_t t) {
@@ -405,7 +403,6 @@
   }
 
   std::vector<Client> clients_;
-  std::vector<Tenths> begun_at_;
   std::vector<Node> nodes_;
   std::vector<std::size_t> zone_turns_;
   Tenths patience_ = 0;
--- a/src/fleet/main.cpp
+++ b/src/fleet/main.cpp
@@ -32,11 +32,7 @@
 int sim(const std::string& file, const Values& values, std::uint64_t seed, const std::string& out,
         const std::string& policy, bool json) {
   const Scenario scenario = scenario_with(file, values);
-  if (!is_policy(policy)) {
-    std::string names;
-    for (const std::string& name : policy_names()) names += (names.empty() ? "" : ", ") + name;
-    throw BadInput("--policy:0:0: unknown policy '" + policy + "'; expected one of: " + names);
-  }
+  check_policy(policy);
   check_folder(out);
   const std::clock_t begun = std::clock();
   Effort effort;
--- a/src/fleet/sim/policy.cpp
+++ b/src/fleet/sim/policy.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "chance.h"
+#include "fleet/model/scenario.h"
 #include "notes.h"
 
 namespace dapplewharf::fleet {
@@ -213,9 +214,13 @@
   return out;
 }
 
-bool is_policy(const std::string& name) {
-  const auto names = policy_names();
-  return std::find(names.begin(), names.end(), name) != names.end();
+void check_policy(const std::string& name) {
+  std::string names;
+  for (const std::string& known : policy_names()) {
+    if (name == known) return;
+    names += (names.empty() ? "" : ", ") + known;
+  }
+  throw BadInput("--policy:0:0: unknown policy '" + name + "'; expected one of: " + names);
 }
 
 Fault fault_of(const std::string& name) {
--- a/src/fleet/sim/policy.h
+++ b/src/fleet/sim/policy.h
@@ -34,7 +34,7 @@
 using Truth = std::function<double(const std::string& host)>;
 
 std::vector<std::string> policy_names();
-bool is_policy(const std::string& name);
+void check_policy(const std::string& name);  // throws BadInput where there is none such
 Fault fault_of(const std::string& name);
 std::unique_ptr<Policy> policy_of(const std::string& name, const Settings& settings, std::uint64_t seed,
                                   Tenths now, Truth truth);
--- a/src/fleet/sim/sim.cpp
+++ b/src/fleet/sim/sim.cpp
@@ -254,7 +254,7 @@
       case Kind::node_alarm: return node_alarm(one.a, static_cast<int>(one.b), static_cast<int>(one.c));
       case Kind::probe_arrives: return probe_arrives(one.a);
       case Kind::probe_over: return probe_over(one.a, static_cast<Outcome>(one.c));
-      case Kind::list_comes: return list_comes(one.a, static_cast<int>(one.b));
+      case Kind::list_comes: return list_comes(one.a, static_cast<int>(one.b), one.c != 0);
       case Kind::list_fails: return list_fails(one.a, static_cast<int>(one.b));
       case Kind::list_counts: return list_counts(one.a, one.b);
       case Kind::publish: return publish(one.a, static_cast<int>(one.b), static_cast<HostState>(one.c));
@@ -844,14 +844,13 @@
     if (watch && node.watches) return;
     at(now_ + (list_down_ > 0 ? kListPatience : jittered(scenario_.list_call_ms)),
        list_down_ > 0 ? Kind::list_fails : Kind::list_comes, n, static_cast<Index>(node.life), watch);
-    pending_watch_[n] = watch;
   }
 
-  void list_comes(Index n, int life) {
+  void list_comes(Index n, int life, bool watch) {
     Node& node = nodes_[n];
     if (!node.alive || node.life != life) return;
     if (list_down_ > 0) return list_fails(n, life);
-    node.watches = node.watches || pending_watch_[n];
+    node.watches = node.watches || watch;
     Event& event = tell(n, EventKind::list_whole, "", kNone);
     event.listings = listings();
     hears_list(n, event.listings);
@@ -868,7 +867,7 @@
     tell(n, EventKind::list_lost, "", kNone);
     settle(n);
     if (scenario_.list_mode == "pushed" && list_down_ > 0)
-      at(now_ + kListPatience, Kind::list_comes, n, static_cast<Index>(life));
+      at(now_ + kListPatience, Kind::list_comes, n, static_cast<Index>(life), 1);
   }
 
   // The service learns of a host's state and tells those that watch.
@@ -1238,7 +1237,6 @@
   std::vector<Conn> conns_;
   std::vector<Probe> probes_;
   std::unordered_map<std::string, Index> asks_, numbers_;
-  std::map<Index, bool> pending_watch_;
   std::uint64_t order_ = 0;
   std::priority_queue<Happening, std::vector<Happening>, std::greater<>> queue_;
   Result result_;
--- a/src/fleet/sweep.cpp
+++ b/src/fleet/sweep.cpp
@@ -160,12 +160,7 @@
 }
 
 int run_sweep(const Sweep& sweep) {
-  for (const std::string& policy : sweep.policies)
-    if (!is_policy(policy)) {
-      std::string names;
-      for (const std::string& name : policy_names()) names += (names.empty() ? "" : ", ") + name;
-      throw BadInput("--policy:0:0: unknown policy '" + policy + "'; expected one of: " + names);
-    }
+  for (const std::string& policy : sweep.policies) check_policy(policy);
   const std::vector<Cell> cells = cells_of(sweep);
   check_folder(sweep.out);
   for (const int number : {SIGINT, SIGTERM}) std::signal(number, on_signal);
--- a/src/sidecar/language.cpp
+++ b/src/sidecar/language.cpp
@@ -112,8 +112,7 @@
   std::optional<Value> label;
   std::vector<Value> values;  // scalars since the last item
   std::optional<Value> list;
-  bool in_list = false;
-  std::string constant;
+  std::string note;  // behind the item that is being read
 
   Value value() {
     Value out = list ? std::move(*list) : std::move(values.back());
@@ -196,7 +195,6 @@
   static void apply(const Input& in, State& state) {
     state.list = value_of(in, state, Type::list, "");
     state.values.clear();
-    state.in_list = true;
   }
 };
 template <>
@@ -216,7 +214,6 @@
     state.list->notes.resize(state.list->items.size() + 1);
     state.list->end = state.list->begin + in.size();
     state.values.clear();
-    state.in_list = false;
   }
 };
 template <>
@@ -246,7 +243,7 @@
       else state.add(Item::Kind::comment, place_of(in, state), in.string());
       return;
     }
-    state.constant += '\0' + in.string();
+    state.note = in.string();
   }
 };
 template <>
@@ -259,12 +256,10 @@
 template <>
 struct action<statement_name> : action<constant_name> {};
 
-// A note read before its item was made travels in `constant`, behind a NUL.
 inline void finish_item(State& state, Item::Kind kind, Place place, std::string name) {
   Item& made = state.add(kind, place, std::move(name));
   made.value = state.value();
-  if (!state.constant.empty()) made.note = state.constant.substr(1);
-  state.constant.clear();
+  made.note = std::exchange(state.note, "");
 }
 template <>
 struct action<include> {
@@ -276,8 +271,7 @@
 template <>
 struct action<constant> {
   template <class Input>
-  static void apply(const Input& in, State& state) {
-    (void)in;
+  static void apply(const Input&, State& state) {
     finish_item(state, Item::Kind::constant, state.statement_place, state.statement);
   }
 };
--- a/src/sidecar/render.cpp
+++ b/src/sidecar/render.cpp
@@ -19,11 +19,6 @@
                                                {"/settings/extra/mode", "proxy"},
                                                {"/settings/extra/parkMs", 0.0},
                                                {"/settings/workload", "conn"}};
-// A pool's own settings, which lie apart because a node has one.
-const std::pair<const char*, const char*> kPool[] = {{"discovery", "/discovery"},
-                                                     {"mode", "/settings/discovery"},
-                                                     {"ask_within", "/settings/guarantees/askWithinMs"}};
-
 json json_of(const Value& value) {
   switch (value.type) {
     case Type::size: return value.amount / kMiB;
@@ -63,8 +58,6 @@
   const BlockRow& block = *block_of(row.block);
   std::string base = block.json;
   const std::string own = row.json;
-  for (const auto& [name, pointer] : kPool)
-    if (std::string(row.block) == "pool" && std::string(row.name) == name) return {row.block, pointer, false};
   if (own.empty()) return {row.block, "", false};
   if (own[0] == '@') return {row.block, own.substr(1) + "/" + std::to_string(number), true};
   if (base.ends_with("[]"))
