--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -239,6 +239,8 @@
   Event& event = tell(EventKind::established, id_of(ticket), found->host);
   event.number = found->tries - 1;
   event.took = loop_.now() - found->sent;
+  spdlog::debug("host {} is up, ms {}{}", found->host, event.took / kMs,
+                found->handed_over ? ", from before" : "");
 }
 
 void Node::ended(Ticket ticket, TryEnd end) {
@@ -259,6 +261,9 @@
     case Outcome::cancelled: ++counters_.cancelled; break;
     case Outcome::not_sent: ++counters_.not_sent; break;
   }
+  // What a fleet of many nodes did is counted from these lines (tools/count.awk); none while level is info.
+  spdlog::debug("host {} ended a {}, outcome {}, after ms {}", found->host, found->up ? "connection" : "try",
+                static_cast<int>(event.outcome), event.took / kMs);
   found->out = false;
   const bool unheard = found->handed_over && !found->up && !found->over;
   if (event.final) held_.erase(id_of(ticket));
@@ -339,12 +344,15 @@
       return;
     case ActionKind::reject:
       ++counters_.rejected;
+      spdlog::debug("rejected, back in ms {}, tries {}", action.time / kMs,
+                    found == held_.end() ? 0 : found->second.tries);
       return answer(action.id, action.time > 0 ? "BUSY " + std::to_string(action.time / kMs) + "\r\n"
                                                : std::string("BUSY\r\n"));
     case ActionKind::scrap: ++counters_.scrapped; return answer(action.id, "ERR\r\n");
     case ActionKind::move: {
       if (found == held_.end()) return;
       ++counters_.moved;
+      spdlog::debug("moved off host {}", found->second.host);
       const Ticket ticket = found->second.ticket;
       found->second.over = true;
       ended(ticket, {Reach::up, Cause::cancelled});
