Cold hosts take their part of what the shares grant, and climb by the second while cold

Cause, choice.cpp: cold_allows took a host to bear what warm ones held of this node's connections (bears: 0.1 for a size of 1 at a node with 4 connections; the shares grant 0.2), and next_climb stretched the climb over the warm-up although the cold bound already holds all that a cold host may be sent.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -152,15 +152,17 @@
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
-  // Danger: all nodes push a cold host over. Each keeps to its part of what the host can surely do: what warm
-  // ones bear of this node's connections, filled over the warm-up; half of the multiple is left for chance.
+  // Danger: all nodes push a cold host over. Each keeps to its part of what the host can surely do: what the
+  // shares grant or warm ones bear of this node's connections, filled over the warm-up; half of the multiple
+  // is left for chance. Danger: a fleet mostly new and hardly used has its crowd heaped on the few warm ones.
   // A budget under one is kept over many windows and by chance: one from each of many nodes is a crowd.
   bool cold_allows() const {
     const double from = needed(around_.settings, "cold_from"), span = needed(around_.settings, "cold_time");
     const double window = needed(around_.settings, "fall_time");
     const double capacity = from + (1 - from) * std::clamp(age() / std::max(span, 1.0), 0.0, 1.0);
     const double multiple = std::max(1.0, needed(around_.settings, "fall_multiple") / 2);
-    const double own = multiple * capacity * fleet_.bears * card_.size * window / std::max(span, 1.0);
+    const double bears = std::max(fleet_.bears, fleet_.granted / nodes(around_.settings));
+    const double own = multiple * capacity * bears * card_.size * window / std::max(span, 1.0);
     const double budget = std::max(own, 1 / nodes(around_.settings));  // one for all nodes at the least
     if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
     const double expected = fleet_.sought * card_.size * kHomeOver * window / kSoughtSpan;
@@ -313,8 +315,7 @@
 
   Tenths next_climb() const {
     if (step_ >= kTop || in_doubt()) return kNever;
-    const auto warming = static_cast<Tenths>(needed(around_.settings, "cold_time") / (kTop + 1));
-    return step_since_ + (cold() ? std::max(kStep, warming) : kStep);
+    return step_since_ + kStep;  // also while cold: what it may be sent then has its own bound
   }
 
   void climb() {
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -439,6 +439,28 @@
   EXPECT_LT(sent, 20);
 }
 
+TEST(Cold, ManyNodesThatHoldLittleStillGiveColdHostsTheirPartAndNoMore) {
+  int cold = 0, all = 0;
+  for (int n = 0; n < 100; ++n) {
+    Fake fake;
+    fake.settings["nodes"] = 100.0;
+    fake.settings["tenant.0.name"] = std::string("one");
+    fake.settings["tenant.0.open"] =
+        400.0;  // 100 for each host: 2.5 x 0.3 x 100 / 4 = 19 in a window at first
+    fake.start(2, static_cast<std::uint64_t>(n));
+    fake.list(Fake::listing("c0", "near", fake.now - 10000), HostState::healthy);
+    fake.list(Fake::listing("c1", "near", fake.now - 10000), HostState::healthy);
+    fake.pass(30000);  // past the first steps of the climb, at half of the warm-up
+    for (int i = 0; i < 2; ++i, ++all) {
+      const std::string at = fake.arrive(std::to_string(i), n * 2 + i);
+      cold += at[0] == 'c' ? 1 : 0;
+      fake.stand(std::to_string(i));
+    }
+  }
+  EXPECT_GT(cold, all / 10);  // with the bound of what little stands at each node it was 6 of 200
+  EXPECT_LT(cold, 2 * 2.5 * 0.65 * 100 / 4);
+}
+
 TEST(Fairness, AShareUnderOneDoesNotShutItsTenantOut) {
   Fake fake;
   fake.settings["nodes"] = 400.0;
