Nodes tell a few others what they hold; a host well over by that is passed

Cause, choice.cpp, Ring::rank: a host is over once it holds 2 more than this node's mean, and full by this node's own count against what the shares grant of all nodes; with 4 connections at a node neither is ever so, at any host. Each node is right by itself, all of them together heap groups on the same hosts. Change: src/members/tally (pure) and src/node/peers (one UDP socket, only where the settings allow peer messages). The module uses it in rank alone, and only where its own mean is under the margin of two that the design asks for, so few nodes with much each go on as before.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -8,6 +8,7 @@
 
 struct Counters {
   // taken in
+  std::uint64_t words_told = 0, words_heard = 0, words_passed = 0;  // with other nodes
   std::uint64_t accepted = 0, greeted = 0, taken = 0, handed_over = 0, malformed = 0, evicted = 0, lists = 0,
                 lists_lost = 0, reloads = 0, reloads_refused = 0;
   // sent
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -224,6 +224,7 @@
         break;
       case EventKind::try_ended: ended(event, note.standing); break;
       case EventKind::delay_told: delayed(event.figure); break;
+      case EventKind::peer_word: card_.elsewhere = event.figure; break;
       case EventKind::probe_ended:
         looked(event);
         silent_ = event.outcome == Outcome::no_answer || event.outcome == Outcome::no_connection;
@@ -483,7 +484,7 @@
   Fleet figures() {
     Fleet fleet;
     double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
-    double near_open = 0, near_size = 0;
+    double near_open = 0, near_size = 0, near_held = 0, near_told = 0;
     const std::string zone = text(around_.settings, "zone");
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
@@ -494,6 +495,8 @@
       all_open += card.open, all_size += card.size;
       if (card.weight <= 0.5) continue;
       if (card.zone == zone) near_open += card.open, near_size += card.size;
+      if (card.zone == zone && card.elsewhere >= 0)
+        near_held += card.open + card.elsewhere, near_told += card.size;
       if (card.strained <= around_.now) roomy += card.size;
       if (card.cold <= around_.now) open += card.open, size += card.size;
     }
@@ -501,6 +504,7 @@
     fleet.crowd_limit = trouble ? kInrush : 0;
     // Danger: with no near host at weight a mean of nothing shuts the far ones to a crowd they have room for.
     if (all_size > 0) fleet.mean = near_size > 0 ? near_open / near_size : all_open / all_size;
+    if (near_told > 0) fleet.held = near_held / near_told;
     if (all_size > 0) fleet.granted = total(around_.settings, "tenant.", ".open") / all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
@@ -596,11 +600,13 @@
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
     const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
-    const double share = seek.fleet.mean * card.size;
-    const bool over =
-        card.open + 1 >= share + kOverBy && card.open + 1 > share * (home ? kHomeOver : kWellOver);
+    // Danger: where a node holds next to nothing none sees a host well over, and all of them heap work there.
+    const bool told = seek.fleet.mean * card.size < kOverBy && seek.fleet.held >= 0 && card.elsewhere >= 0;
+    const double share = (told ? seek.fleet.held : seek.fleet.mean) * card.size;
+    const double open = card.open + 1 + (told ? card.elsewhere : 0);
+    const bool over = open >= share + kOverBy && open > share * (home ? kHomeOver : kWellOver);
     // Danger: a node that starts anew in a crowd knows no delays and heaps all of it on its one near host.
-    const bool full = seek.fleet.granted > 0 && (card.open + 1) * 2 > seek.fleet.granted * card.size;
+    const bool full = seek.fleet.granted > 0 && open * 2 > seek.fleet.granted * card.size;
     if (card.strained > around_.now) return near ? 6 : 7;
     if (home && !over && !full) return near ? 0 : 3;
     if (near && !full) return over ? 2 : 1;
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -78,6 +78,14 @@
   if (!sockets.is_number() || sockets.get<double>() < 4 * kKeptBack || sockets.get<double>() > 1e7)
     throw std::runtime_error("'limits.sockets' is no number or too small to serve");
   to.descriptors = sockets.get<int>();
+  // Words between nodes are a help, no need: what is missing or odd there leaves the node alone, and serving.
+  if (to.env.value("/bounds/peerMessages"_json_pointer, json(false)) == true && from.contains("peers") &&
+      from["peers"].is_array() && from.contains("peer_listen") && from["peer_listen"].is_string()) {
+    to.peers.listen = from["peer_listen"].get<std::string>();
+    for (const json& peer : from["peers"])
+      to.peers.peers.push_back(peer.is_string() ? peer.get<std::string>() : "");
+    to.peers.me = to.env.contains("me") && to.env["me"].is_number() ? to.env["me"].get<int>() : -1;
+  }
   return to;
 }
 
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "node/peers.h"
 #include "words.h"
 
 namespace dapplewharf {
@@ -16,6 +17,7 @@
   int descriptors = 1024;
   nlohmann::json known, env;  // the list as last had; the settings
   LogSettings log;
+  PeerSettings peers;  // none where the platform does not allow words between nodes
 };
 
 // Where a configuration is read from: the platform's JSON or a file in the operators' language, and the
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,7 @@
 constexpr double kOwnPart = 1.0 / 5;  // of a goal: what a message takes where nothing else is done
 constexpr double kSpeeds = 2;         // how far hosts at rest differ, beyond what their sizes say
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
+constexpr double kHeldStep = 0.5;     // connections: less is no news
 constexpr Tenths kHandOverTime = 10 * kSecond;
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
@@ -127,13 +128,15 @@
                     tell(EventKind::list_lost);
                     subscribe();
                   }}),
-      probes_(loop, counters_, limits_, [this](const std::string& host, const Probes::Probed& probed) {
-        Event& event = tell(EventKind::probe_ended, "", host);
-        event.outcome = outcome_of(probed.end);
-        event.took = probed.took;
-        if (probed.answer_after > 0 && loop_.late() < kHeldUp)
-          meters_[host].probed(loop_.now(), probed.answer_after);
-      }) {
+      probes_(loop, counters_, limits_,
+              [this](const std::string& host, const Probes::Probed& probed) {
+                Event& event = tell(EventKind::probe_ended, "", host);
+                event.outcome = outcome_of(probed.end);
+                event.took = probed.took;
+                if (probed.answer_after > 0 && loop_.late() < kHeldUp)
+                  meters_[host].probed(loop_.now(), probed.answer_after);
+              }),
+      peers_(loop, counters_, configuration_.peers, configuration_.seed) {
   take_settings();
 }
 
@@ -288,6 +291,7 @@
   const Tenths since = loop_.now() - looked_at_;
   looked_at_ = loop_.now();
   loop_.at(look_, looked_at_ + kLookEvery, [this] { look(); });
+  exchange();
   std::map<std::string, std::pair<std::string, std::vector<Tenths>>> hosts;  // a connection there; the ages
   if (loop_.late() >= kHeldUp) return;  // danger: after a pause every line seems unanswered
   relay_.each_standing([&](Ticket ticket, Tenths unanswered) {
@@ -314,6 +318,20 @@
   }
 }
 
+void Node::exchange() {
+  Tally::Counts counts;
+  for (const auto& [id, one] : held_)
+    if (one.out && !one.over) ++counts[one.host];
+  peers_.tell(counts);
+  for (const auto& [host, address] : addresses_) {
+    const double held = peers_.elsewhere(host).value_or(-1);
+    const auto [told, fresh] = elsewhere_.try_emplace(host, -1);
+    if (std::abs(told->second - held) < kHeldStep) continue;
+    told->second = held;
+    tell(EventKind::peer_word, "", host).figure = held;
+  }
+}
+
 void Node::settle() {
   while (!events_.empty()) {
     const std::vector<Event> batch = std::exchange(events_, {});
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,6 +9,7 @@
 #include "choice.h"
 #include "node/configuration.h"
 #include "node/discovery.h"
+#include "node/peers.h"
 #include "node/probes.h"
 #include "node/relay.h"
 
@@ -67,6 +68,7 @@
   void ended(Ticket ticket, TryEnd end);
   void listed(const List& list, EventKind kind);
   void look();
+  void exchange();  // what the nodes hold, among them
   void act(const Action& action);
   void answer(const std::string& id, const std::string& line);
   void subscribe();
@@ -89,6 +91,8 @@
   Relay relay_;
   Discovery discovery_;
   Probes probes_;
+  Peers peers_;
+  std::map<std::string, double> elsewhere_;  // as last told to the module
   std::vector<Event> events_;
   std::unordered_map<std::string, Held> held_;
   std::map<std::string, std::string> addresses_;
--- /dev/null
+++ b/src/node/peers.cpp
@@ -0,0 +1,70 @@
+#include "node/peers.h"
+
+#include <poll.h>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+
+namespace dapplewharf {
+namespace {
+
+constexpr std::size_t kLongestWord = 256;
+constexpr int kAtOnce = 64;  // words read in one turn: a flood waits, and is dropped by the system
+
+bool same(const sockaddr_in& a, const sockaddr_in& b) {
+  return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
+}
+
+}  // namespace
+
+Peers::Peers(Loop& loop, Counters& counters, const PeerSettings& settings, std::uint64_t seed)
+    : loop_(loop), counters_(counters), tally_(static_cast<int>(settings.peers.size()), settings.me, seed) {
+  const auto at = address_of(settings.listen);
+  if (!at || settings.peers.size() < 2) return;
+  for (const std::string& peer : settings.peers)
+    addresses_.push_back(address_of(peer).value_or(sockaddr_in{}));
+  Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!socket || bind(socket.number(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0) {
+    spdlog::warn("no words with other nodes: {} cannot be listened at, error {}", settings.listen, errno);
+    return;
+  }
+  socket_ = std::move(socket);
+  loop_.watch(socket_.number(), POLLIN, [this](short) { read(); });
+}
+
+void Peers::tell(const Tally::Counts& counts) {
+  if (!socket_) return;
+  const std::vector<int> others = tally_.tell_to(loop_.now(), counts);
+  if (others.empty()) return;
+  const std::string word = Tally::word(counts, Loop::unix_now());
+  for (const int other : others) {
+    const sockaddr_in& to = addresses_[static_cast<std::size_t>(other)];
+    // A word that the system does not take is lost like one on the way: the next one tells it all anew.
+    if (sendto(socket_.number(), word.data(), word.size(), MSG_NOSIGNAL | MSG_DONTWAIT,
+               reinterpret_cast<const sockaddr*>(&to), sizeof to) >= 0)
+      ++counters_.words_told;
+  }
+}
+
+void Peers::read() {
+  char bytes[kLongestWord];
+  for (int i = 0; i < kAtOnce; ++i) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    const ssize_t got = recvfrom(socket_.number(), bytes, sizeof bytes, MSG_DONTWAIT | MSG_TRUNC,
+                                 reinterpret_cast<sockaddr*>(&from), &size);
+    if (got < 0) return;
+    int sender = -1;
+    for (std::size_t k = 0; k < addresses_.size(); ++k)
+      if (same(addresses_[k], from)) sender = static_cast<int>(k);
+    const bool whole = got <= static_cast<ssize_t>(sizeof bytes);
+    if (whole && tally_.hear(sender, {bytes, static_cast<std::size_t>(got)}, Loop::unix_now()))
+      ++counters_.words_heard;
+    else ++counters_.words_passed;
+  }
+}
+
+std::optional<double> Peers::elsewhere(const std::string& host) const {
+  return socket_ ? tally_.elsewhere(host, Loop::unix_now()) : std::nullopt;
+}
+
+}  // namespace dapplewharf
--- /dev/null
+++ b/src/node/peers.h
@@ -0,0 +1,35 @@
+// Words between nodes: one UDP socket on which this node tells others what it holds and hears them. Owns that
+// socket and the tally; takes words only from the addresses that the configuration names. Where it names
+// none, or the socket cannot be had, nothing is told and the node goes on alone.
+#pragma once
+#include "base/counters.h"
+#include "base/loop.h"
+#include "base/socket.h"
+#include "members/tally.h"
+
+namespace dapplewharf {
+
+struct PeerSettings {
+  std::string listen;              // a.b.c.d:port; empty: no words
+  std::vector<std::string> peers;  // by number, this node's own among them
+  int me = 0;
+};
+
+class Peers {
+ public:
+  Peers(Loop& loop, Counters& counters, const PeerSettings& settings, std::uint64_t seed);
+
+  void tell(const Tally::Counts& counts);  // if it is time to
+  std::optional<double> elsewhere(const std::string& host) const;
+
+ private:
+  void read();
+
+  Loop& loop_;
+  Counters& counters_;
+  Tally tally_;
+  std::vector<sockaddr_in> addresses_;
+  Socket socket_;
+};
+
+}  // namespace dapplewharf
--- a/src/notes.h
+++ b/src/notes.h
@@ -73,14 +73,15 @@
   std::int64_t cell = 0;
   double size = 1;
   double score = 100;
-  double weight = 1;     // score and ramp together
-  int open = 0;          // connections, with set-ups still out
-  bool healthy = false;  // listed and neither draining nor gone
-  Tenths strained = 0;   // until when its messages count as slow,
-  Tenths late = 0;       // as so slow that none is in time,
-  Tenths shedding = 0;   // as dropping connections that stood,
-  Tenths cold = 0;       // and as cold
-  Tenths due = 0;        // when it wants to be woken
+  double weight = 1;      // score and ramp together
+  int open = 0;           // connections, with set-ups still out
+  double elsewhere = -1;  // those of all other nodes, as told; below 0: unknown
+  bool healthy = false;   // listed and neither draining nor gone
+  Tenths strained = 0;    // until when its messages count as slow,
+  Tenths late = 0;        // as so slow that none is in time,
+  Tenths shedding = 0;    // as dropping connections that stood,
+  Tenths cold = 0;        // and as cold
+  Tenths due = 0;         // when it wants to be woken
 };
 
 // What the roster tells everyone of the fleet.
@@ -89,6 +90,7 @@
   double score = 100;      // mean of the others, where a new host starts
   double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
   double mean = 0;         // open connections for a size of 1, in this node's own zone
+  double held = -1;        // the same of all nodes, as far as told; below 0: unknown
   int spare = 0;           // moved connections that hosts with room may take in a second
   double sought = 0;       // how often a host was sought lately, for a size of 1
   double bears = 0;        // open connections that a warm host of size 1 bears for this node
--- a/src/words.h
+++ b/src/words.h
@@ -59,7 +59,9 @@
   Outcome outcome = Outcome::honoured;
   Tenths took = 0;
   bool final = false;
-  double figure = 0;  // the load in microseconds of work a second, or the delay or wait in tenths
+  // The load in microseconds of work a second, the delay or wait in tenths, or the connections that all other
+  // nodes hold at the host, below 0 where that is unknown.
+  double figure = 0;
   std::vector<Listing> listings;
   std::vector<double> report;
 };
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -141,6 +141,28 @@
   }
 }
 
+TEST(Ring, WhereANodeHoldsLittleAHostIsWellOverByWhatOthersTell) {
+  Fake fake;
+  fake.settings["nodes"] = 100.0;
+  fake.start(4);
+  const std::string first = fake.arrive("a", 1);
+  fake.end("a", Outcome::cancelled, true);
+  EXPECT_EQ(fake.arrive("b", 1), first);  // alone it sees nothing that speaks against it
+  fake.end("b", Outcome::cancelled, true);
+  const auto told = [&](const std::string& host, double held) {
+    Event word;
+    word.kind = EventKind::peer_word;
+    word.host = host;
+    word.figure = held;
+    fake.tell(word);
+  };
+  for (int i = 0; i < 4; ++i) told("h" + std::to_string(i), first == "h" + std::to_string(i) ? 60 : 20);
+  EXPECT_NE(fake.arrive("c", 1), first);
+  fake.end("c", Outcome::cancelled, true);
+  for (int i = 0; i < 4; ++i) told("h" + std::to_string(i), -1);  // nobody is heard any more
+  EXPECT_EQ(fake.arrive("d", 1), first);
+}
+
 TEST(Ring, AHostWellOverTheMeanIsPassed) {
   Fake fake;
   fake.start(3);
