Cold hosts take their whole part, and homes no longer heap, where others tell what they hold

Cause, choice.cpp: cold_allows takes four times (kHomeOver) the mean of what is sought to be heaped on one host, and rank let a group's home hold four times the mean. Both stand for what a node cannot see; told counts show it. Change: with told counts 1.5 (kToldOver) and the usual kWellOver. Without them all is as before.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,6 +41,7 @@
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver = 4;     // the same where the group is paid for: elsewhere it is paid again
+constexpr double kToldOver = 1.5;   // and where others tell what they hold, by when the word has come round
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
@@ -165,7 +166,8 @@
     const double own = multiple * capacity * bears * card_.size * window / std::max(span, 1.0);
     const double budget = std::max(own, 1 / nodes(around_.settings));  // one for all nodes at the least
     if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
-    const double expected = fleet_.sought * card_.size * kHomeOver * window / kSoughtSpan;
+    const double heaped = card_.elsewhere >= 0 ? kToldOver : kHomeOver;  // that much may seek this one host
+    const double expected = fleet_.sought * card_.size * heaped * window / kSoughtSpan;
     return sent_within(window * nodes(around_.settings), 1) < 1 && around_.chance.share() * expected < budget;
   }
 
@@ -604,7 +606,7 @@
     const bool told = seek.fleet.mean * card.size < kOverBy && seek.fleet.held >= 0 && card.elsewhere >= 0;
     const double share = (told ? seek.fleet.held : seek.fleet.mean) * card.size;
     const double open = card.open + 1 + (told ? card.elsewhere : 0);
-    const bool over = open >= share + kOverBy && open > share * (home ? kHomeOver : kWellOver);
+    const bool over = open >= share + kOverBy && open > share * (home && !told ? kHomeOver : kWellOver);
     // Danger: a node that starts anew in a crowd knows no delays and heaps all of it on its one near host.
     const bool full = seek.fleet.granted > 0 && open * 2 > seek.fleet.granted * card.size;
     if (card.strained > around_.now) return near ? 6 : 7;
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -72,6 +72,14 @@
     tell(event);
   }
 
+  void held(const std::string& host, double elsewhere) {  // what other nodes hold there
+    Event word;
+    word.kind = EventKind::peer_word;
+    word.host = host;
+    word.figure = elsewhere;
+    tell(word);
+  }
+
   Event wish_of(const std::string& tenant) const {
     Event event;
     event.kind = EventKind::attachment;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -149,17 +149,10 @@
   fake.end("a", Outcome::cancelled, true);
   EXPECT_EQ(fake.arrive("b", 1), first);  // alone it sees nothing that speaks against it
   fake.end("b", Outcome::cancelled, true);
-  const auto told = [&](const std::string& host, double held) {
-    Event word;
-    word.kind = EventKind::peer_word;
-    word.host = host;
-    word.figure = held;
-    fake.tell(word);
-  };
-  for (int i = 0; i < 4; ++i) told("h" + std::to_string(i), first == "h" + std::to_string(i) ? 60 : 20);
+  for (int i = 0; i < 4; ++i) fake.held("h" + std::to_string(i), first == "h" + std::to_string(i) ? 60 : 20);
   EXPECT_NE(fake.arrive("c", 1), first);
   fake.end("c", Outcome::cancelled, true);
-  for (int i = 0; i < 4; ++i) told("h" + std::to_string(i), -1);  // nobody is heard any more
+  for (int i = 0; i < 4; ++i) fake.held("h" + std::to_string(i), -1);  // nobody is heard any more
   EXPECT_EQ(fake.arrive("d", 1), first);
 }
 
@@ -461,6 +454,24 @@
   EXPECT_LT(sent, 20);
 }
 
+TEST(Cold, WhereOthersTellWhatTheyHoldAColdHostIsNotHeldToLessThanItsPart) {
+  int heard = 0, alone = 0;
+  for (int n = 0; n < 200; ++n)
+    for (const bool told : {true, false}) {
+      Fake fake;
+      fake.settings["nodes"] = 100.0;
+      fake.settings["tenant.0.name"] = std::string("one");
+      fake.settings["tenant.0.open"] = 40.0;
+      fake.start(1, static_cast<std::uint64_t>(n));
+      fake.list(Fake::listing("h0", "near", fake.now), HostState::healthy);
+      if (told) fake.held("h0", 20);
+      fake.pass(20000);
+      (told ? heard : alone) += fake.arrive("a", 1).empty() ? 0 : 1;
+    }
+  EXPECT_GT(heard, 2 * alone);
+  EXPECT_LT(heard, 200 * 0.3);
+}
+
 TEST(Cold, ManyNodesThatHoldLittleStillGiveColdHostsTheirPartAndNoMore) {
   int cold = 0, all = 0;
   for (int n = 0; n < 100; ++n) {
