--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -88,9 +88,9 @@
 TEST(Peers, TwoNodesHearEachOtherAndNobodyElse) {
   Loop loop;
   Counters counters;
-  const std::vector<std::string> both{"127.0.0.1:47461", "127.0.0.1:47462"};
+  const std::vector<std::string> both{"127.0.77.1:21461", "127.0.77.1:21462"};
   Peers one(loop, counters, {both[0], both, 0}, 1), two(loop, counters, {both[1], both, 1}, 2);
-  Peers stranger(loop, counters, {"127.0.0.1:47463", both, 0}, 3);
+  Peers stranger(loop, counters, {"127.0.77.1:21463", both, 0}, 3);
   stranger.tell({{"a", 90}});
   one.tell({{"a", 3}});
   for (int i = 0; i < 20 && !two.elsewhere("a"); ++i) loop.turn(100 * kMs);
