A node without peers no longer counts what it holds ten times a second

From reading the change once more: exchange walked all held connections each look though there was nobody to tell; the counters of words stood among what is taken in; an include was not used. Noted as open: the cold bound takes told counts under a wider condition than rank does.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -8,7 +8,6 @@
 
 struct Counters {
   // taken in
-  std::uint64_t words_told = 0, words_heard = 0, words_passed = 0;  // with other nodes
   std::uint64_t accepted = 0, greeted = 0, taken = 0, handed_over = 0, malformed = 0, evicted = 0, lists = 0,
                 lists_lost = 0, reloads = 0, reloads_refused = 0;
   // sent
@@ -19,6 +18,8 @@
                 cancelled = 0, not_sent = 0;
   // answered
   std::uint64_t honoured = 0, rejected = 0, scrapped = 0, moved = 0, left = 0, overdue = 0, no_descriptor = 0;
+  // words with other nodes
+  std::uint64_t words_told = 0, words_heard = 0, words_passed = 0;
 
   std::string told() const;  // one line
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -319,6 +319,7 @@
 }
 
 void Node::exchange() {
+  if (!peers_) return;  // counting what is held costs a walk over all of it
   Tally::Counts counts;
   for (const auto& [id, one] : held_)
     if (one.out && !one.over) ++counts[one.host];
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -19,7 +19,8 @@
  public:
   Peers(Loop& loop, Counters& counters, const PeerSettings& settings, std::uint64_t seed);
 
-  void tell(const Tally::Counts& counts);  // if it is time to
+  explicit operator bool() const { return static_cast<bool>(socket_); }  // whether any words go or come
+  void tell(const Tally::Counts& counts);                                // if it is time to
   std::optional<double> elsewhere(const std::string& host) const;
 
  private:
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -1,8 +1,6 @@
 // Words between nodes: what is heard, for how long, and what an estimate is made of.
 #include <gtest/gtest.h>
 
-#include <cstring>
-
 #include "members/tally.h"
 #include "node/peers.h"
 
