--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -81,7 +81,7 @@
 
 class Host {
  public:
-  std::deque<Note> inbox;
+  Inbox inbox;
 
   Host(Surroundings& around, std::string id) : around_(around), id_(std::move(id)) {
     next_probe_ =
@@ -125,16 +125,16 @@
   }
 
   Tenths age() const {
-    return started_ > 0 ? around_.now - started_ : number(around_.settings, "cold_time", 0);
+    return started_ > 0 ? around_.now - started_ : static_cast<Tenths>(around_.rules.cold_time);
   }
-  bool cold() const { return age() < needed(around_.settings, "cold_time"); }
+  bool cold() const { return age() < around_.rules.cold_time; }
   bool strained() const { return strained_at_ > 0 && around_.now - strained_at_ < kStrainHeld; }
 
   // The one place that decides whether this host may be sent this attachment.
   bool may_be_sent(const Event& attachment) const {
     if (state_ != HostState::healthy) {
       // A mid-flow connection may be held here; without proof of that only the grace allows it.
-      const bool in_grace = around_.now - left_at_ < needed(around_.settings, "drain_grace") - kPulse;
+      const bool in_grace = around_.now - left_at_ < around_.rules.drain_grace - kPulse;
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
     if (cold()) return cold_allows();
@@ -147,8 +147,8 @@
   // Danger: a crowd cut off at one host falls on the next, which then cuts off its own. A host takes only a
   // part of what hosts usually hold as new work in a second; whoever finds no host is told when to come back.
   bool crowd_allows() const {
-    if (card_.open + kOverBy < kEase * fleet_.granted * card_.size / nodes(around_.settings)) return true;
-    const double least = std::min(kInrushLeast, kInrushAll / nodes(around_.settings));
+    if (card_.open + kOverBy < kEase * fleet_.granted * card_.size / around_.rules.nodes) return true;
+    const double least = std::min(kInrushLeast, kInrushAll / around_.rules.nodes);
     const double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
@@ -158,17 +158,17 @@
   // is left for chance. Danger: a fleet mostly new and hardly used has its crowd heaped on the few warm ones.
   // A budget under one is kept over many windows and by chance: one from each of many nodes is a crowd.
   bool cold_allows() const {
-    const double from = needed(around_.settings, "cold_from"), span = needed(around_.settings, "cold_time");
-    const double window = needed(around_.settings, "fall_time");
+    const double from = around_.rules.cold_from, span = around_.rules.cold_time;
+    const double window = around_.rules.fall_time;
     const double capacity = from + (1 - from) * std::clamp(age() / std::max(span, 1.0), 0.0, 1.0);
-    const double multiple = std::max(1.0, needed(around_.settings, "fall_multiple") / 2);
-    const double bears = std::max(fleet_.bears, fleet_.granted / nodes(around_.settings));
+    const double multiple = std::max(1.0, around_.rules.fall_multiple / 2);
+    const double bears = std::max(fleet_.bears, fleet_.granted / around_.rules.nodes);
     const double own = multiple * capacity * bears * card_.size * window / std::max(span, 1.0);
-    const double budget = std::max(own, 1 / nodes(around_.settings));  // one for all nodes at the least
+    const double budget = std::max(own, 1 / around_.rules.nodes);  // one for all nodes at the least
     if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
     const double heaped = card_.elsewhere >= 0 ? kToldOver : kHomeOver;  // that much may seek this one host
     const double expected = fleet_.sought * card_.size * heaped * window / kSoughtSpan;
-    return sent_within(window * nodes(around_.settings), 1) < 1 && around_.chance.share() * expected < budget;
+    return sent_within(window * around_.rules.nodes, 1) < 1 && around_.chance.share() * expected < budget;
   }
 
   double sent_within(double span, double least) const {  // only pieces of at least `least` count
@@ -186,8 +186,8 @@
   // Danger: at a node that probes a host once in minutes neither signal nor report tells of now. A host whose
   // last probe is older than a steady one would be is probed first; the attachment goes on with the answer.
   bool looks_first(const Note& note) const {
-    return !note.event.mid_flow && number(around_.settings, "report.load", -1) >= 0 && note.looks < kLooks &&
-           !recent() && (probe_out_ || may_be_probed());
+    return !note.event.mid_flow && around_.rules.report_load >= 0 && note.looks < kLooks && !recent() &&
+           (probe_out_ || may_be_probed());
   }
   bool recent() const { return around_.now - probed_at_ <= kProbeEvery; }
 
@@ -206,7 +206,7 @@
 
   void looked(const Event& event) {
     probe_out_ = false, probed_at_ = around_.now;
-    const double at = number(around_.settings, "report.load", -1);
+    const double at = around_.rules.report_load;
     const bool told = at >= 0 && at < static_cast<double>(event.report.size());
     load_ = told ? event.report[static_cast<std::size_t>(at)] : 0;
     for (Note& note : std::exchange(waiting_, {})) {
@@ -252,19 +252,19 @@
 
   void delayed(double delay) {
     delay_ = delay;
-    if (delay > shortest_goal()) cap_at_ = around_.now, cap_ = card_.open;
-    strained_at_ = delay * 3 > shortest_goal() ? around_.now : 0;  // the last note tells of the end
+    if (delay > around_.rules.shortest_goal) cap_at_ = around_.now, cap_ = card_.open;
+    strained_at_ =
+        delay * 3 > around_.rules.shortest_goal ? around_.now : 0;  // the last note tells of the end
   }
 
-  double longest_expiry() const { return extreme(around_.settings, "traffic.", ".expiry", 1, kNever); }
-  double shortest_goal() const { return extreme(around_.settings, "message_goal.", "", -1, 0); }
-
   // Danger: value is counted by the second, and connections left on a host that answers too late or not at
   // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
   // One that answers probes with errors may well serve what stands there; one with messages slower than any
   // client's patience does not, whatever its probes say. One that leaves the list cuts off what it holds.
-  bool dead() const { return (!probes_.good && silent_) || (strained() && delay_ > longest_expiry()); }
-  bool late() const { return strained() && delay_ * 2 > shortest_goal(); }
+  bool dead() const {
+    return (!probes_.good && silent_) || (strained() && delay_ > around_.rules.longest_expiry);
+  }
+  bool late() const { return strained() && delay_ * 2 > around_.rules.shortest_goal; }
   bool leaving() const { return state_ != HostState::healthy; }
   bool relieves() const { return card_.open > 0 && (dead() || late() || leaving()); }
 
@@ -328,12 +328,12 @@
   }
 
   bool may_be_probed() const {
-    return number(around_.settings, "probes_allowed", 0) != 0 && state_ == HostState::healthy && !probe_out_;
+    return around_.rules.probes_allowed && state_ == HostState::healthy && !probe_out_;
   }
 
   // Danger: probes of many nodes add up to more work than the attachments; they share one rate a host.
   Tenths probe_interval(Tenths own, Tenths shared) const {
-    return std::max(own, static_cast<Tenths>(shared * nodes(around_.settings)));
+    return std::max(own, static_cast<Tenths>(shared * around_.rules.nodes));
   }
 
   void probe() {
@@ -350,17 +350,20 @@
     card_.weight = card_.score / 100 * kRamp[step_];
     card_.healthy = state_ == HostState::healthy;
     card_.strained = strained_at_ > 0 ? strained_at_ + kStrainHeld : 0;
-    card_.late = delay_ > shortest_goal() ? card_.strained : 0;
+    card_.late = delay_ > around_.rules.shortest_goal ? card_.strained : 0;
     card_.shedding = shed_at_ > 0 ? shed_at_ + kStrainHeld : 0;
-    card_.cold = started_ > 0 ? started_ + static_cast<Tenths>(needed(around_.settings, "cold_time")) : 0;
+    card_.cold = started_ > 0 ? started_ + static_cast<Tenths>(around_.rules.cold_time) : 0;
     card_.due = std::min(next_climb(), may_be_probed() ? next_probe_ : kNever);
     if (relieves()) card_.due = std::min(card_.due, next_relief_);
+    if (told_ == card_) return;
+    told_ = card_;
     for (const Part to : {Part::roster, Part::ring}) around_.write(to, Topic::card, id_).card = card_;
   }
 
   Surroundings& around_;
   std::string id_;
   Card card_;
+  std::optional<Card> told_;  // the card as last sent round
   Fleet fleet_;
   HostState state_ = HostState::gone;
   bool known_ = false, probe_out_ = false;
@@ -383,7 +386,7 @@
 // Follows the list and says when the weights are frozen.
 class Roster {
  public:
-  std::deque<Note> inbox;
+  Inbox inbox;
   explicit Roster(Surroundings& around) : around_(around) {}
 
   void read(const Note& note) {
@@ -399,8 +402,6 @@
   }
 
  private:
-  bool asked_for() const { return text(around_.settings, "discovery") == "on_request"; }
-
   void list(const Event& event) {
     if (event.kind == EventKind::stopping) return void(stopped_at_ = around_.now);
     if (event.kind == EventKind::list_lost) {
@@ -432,12 +433,11 @@
 
   // Danger: one service lists for all nodes; asked by all at once it turns most away, and they ask again.
   double spread() const {
-    return std::min(kAskLatest * number(around_.settings, "ask_within", 0),
-                    kAskShared * nodes(around_.settings));
+    return std::min(kAskLatest * around_.rules.ask_within, kAskShared * around_.rules.nodes);
   }
 
   void ask() {
-    if (!started_ || subscribed_ || !asked_for() || around_.now < ask_at_) return;
+    if (!started_ || subscribed_ || !around_.rules.on_request || around_.now < ask_at_) return;
     subscribed_ = true;
     around_.act(ActionKind::subscribe, "", "");
   }
@@ -460,7 +460,7 @@
   void set_alarm() {  // one stands for whatever is due first
     Tenths due = due_.empty() ? kNever : due_.begin()->first;
     if (to_check_ || stopped_at_ > 0) due = around_.now;  // whether the weights freeze; what is to be moved
-    if (started_ && !subscribed_ && asked_for()) due = std::min(due, ask_at_);
+    if (started_ && !subscribed_ && around_.rules.on_request) due = std::min(due, ask_at_);
     if (!frozen_) due = std::min(due, silent_from());
     due = std::max({due, pulsed_at_ + kPulse, around_.now + 1});
     if (due >= kNever || (alarm_at_ > around_.now && alarm_at_ <= due)) return;
@@ -487,7 +487,7 @@
     Fleet fleet;
     double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
     double near_open = 0, near_size = 0, near_held = 0, near_told = 0;
-    const std::string zone = text(around_.settings, "zone");
+    const std::string& zone = around_.rules.zone;
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
@@ -507,7 +507,7 @@
     // Danger: with no near host at weight a mean of nothing shuts the far ones to a crowd they have room for.
     if (all_size > 0) fleet.mean = near_size > 0 ? near_open / near_size : all_open / all_size;
     if (near_told > 0) fleet.held = near_held / near_told;
-    if (all_size > 0) fleet.granted = total(around_.settings, "tenant.", ".open") / all_size;
+    if (all_size > 0) fleet.granted = around_.rules.granted / all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
     if (hosts > 0) fleet.score = scores / hosts;
@@ -539,16 +539,20 @@
 // The consistent hash ring: says in which order hosts are asked to take an attachment.
 class Ring {
  public:
-  std::deque<Note> inbox;
+  Inbox inbox;
   explicit Ring(Surroundings& around) : around_(around) {}
 
   void read(const Note& note) {
-    if (note.topic == Topic::fleet) frozen_ = note.fleet.frozen;
+    if (note.topic == Topic::fleet) {
+      frozen_ = note.fleet.frozen;
+      for (const auto& [id, weight] : std::exchange(told_, {})) cards_[id].weight = weight;
+    }
     if (note.topic == Topic::seek) answer(note);
     if (note.topic != Topic::card) return;
     const auto [at, fresh] = cards_.try_emplace(note.host, note.card);
     if (fresh || at->second.size != note.card.size) stale_ = true;
     const double weight = fresh || !frozen_ ? note.card.weight : at->second.weight;
+    if (frozen_) told_[note.host] = note.card.weight;
     at->second = note.card;
     at->second.weight = weight;  // frozen: the weight stays, all else is kept up
   }
@@ -598,7 +602,7 @@
 
   // Lower is asked earlier; within one rank the ring decides.
   int rank(const Note& seek, const std::string& id, const Card& card) const {
-    const bool near = card.zone == text(around_.settings, "zone");
+    const bool near = card.zone == around_.rules.zone;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
     const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
@@ -617,6 +621,7 @@
 
   Surroundings& around_;
   std::map<std::string, Card> cards_;
+  std::map<std::string, double> told_;  // weights told while frozen: they hold from the thaw on
   Circle circle_;
   bool stale_ = true, frozen_ = false;
 };
@@ -624,7 +629,7 @@
 // Holds the attachments: their tries, their expiry and their one final answer.
 class Desk {
  public:
-  std::deque<Note> inbox;
+  Inbox inbox;
   explicit Desk(Surroundings& around) : around_(around) {}
 
   void read(const Note& note) {
@@ -735,7 +740,7 @@
   // The one place that decides whether an attachment may have another setup try.
   bool may_be_tried_again(const Attachment& held) const {
     if (held.answered || held.standing || around_.now >= held.event.expiry) return false;
-    if (static_cast<double>(held.tries.size()) >= number(around_.settings, "max_tries", 1)) return false;
+    if (static_cast<double>(held.tries.size()) >= around_.rules.max_tries) return false;
     for (const Try& earlier : held.tries) {
       if (earlier.out) return false;  // danger: two out; a cancelled one is out until its result has come
       if (!earlier.may_have_run || held.effect == "idempotent") continue;
@@ -757,7 +762,7 @@
   // Fairness: what lies beyond a tenant's share gives way first, and only while room is short.
   bool beyond_share(const Attachment& held) const {
     const std::string at = entry(around_.settings, "tenant.", held.event.tenant);
-    const double share = at.empty() ? 0 : number(around_.settings, at + "open", 0) / nodes(around_.settings);
+    const double share = at.empty() ? 0 : number(around_.settings, at + "open", 0) / around_.rules.nodes;
     double open = 0;
     for (const auto& [id, other] : held_)
       if (!other.answered && other.standing && other.event.tenant == held.event.tenant) ++open;
@@ -790,7 +795,7 @@
     note.host = route.hosts.front();
     note.hosts.erase(note.hosts.begin());
     // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
-    const std::size_t asks = std::max<std::size_t>(1, kScatter / nodes(around_.settings)) - 1;
+    const std::size_t asks = std::max<std::size_t>(1, kScatter / around_.rules.nodes) - 1;
     if (route.topic == Topic::route && route.fleet.crowd_limit > 0 && note.hosts.size() > asks)
       note.hosts.resize(asks);
   }
@@ -804,7 +809,7 @@
   // A try that hangs must leave time for another within the latency goal; the last one may use all of it.
   Tenths time_out(const Attachment& held) const {
     const Tenths left = held.event.expiry - around_.now;
-    if (static_cast<double>(held.tries.size()) >= number(around_.settings, "max_tries", 1)) return left;
+    if (static_cast<double>(held.tries.size()) >= around_.rules.max_tries) return left;
     if (held.effect == "unrepeatable" || held.event.mid_flow) return left;
     std::vector<Tenths> sorted(times_.begin(), times_.end());
     std::sort(sorted.begin(), sorted.end());
@@ -839,13 +844,14 @@
   std::map<std::string, Host> hosts;
   std::set<std::string> stirred;  // hosts with notes in their inbox
 
-  Parts(Settings settings, std::uint64_t seed, Tenths now)
-      : around{std::move(settings), Chance(seed), now, {}, {}}, roster(around), ring(around), desk(around) {
-    for (const char* rule : {"cold_from", "cold_time", "fall_time", "fall_multiple", "drain_grace"})
-      needed(around.settings, rule);
-  }
+  Parts(const Settings& settings, std::uint64_t seed, Tenths now)
+      : around{settings, Rules(settings), Chance(seed), now, {}, {}},
+        roster(around),
+        ring(around),
+        desk(around) {}
 
   void deliver(const Event& event) {
+    if (event.kind == EventKind::load_told) return;  // nothing is decided by it
     if (event.kind <= EventKind::stopping) around.write(Part::roster, Topic::event).event = event;
     else if (event.id.empty() && !event.host.empty())  // of a probe, or a delay where nothing stands
       around.write(Part::host, Topic::event, event.host).event = event;
@@ -857,14 +863,13 @@
   template <class Actor>
   bool empty(Actor& actor) {
     const bool any = !actor.inbox.empty();
-    for (; !actor.inbox.empty(); actor.inbox.pop_front()) actor.read(actor.inbox.front());
+    for (const Note& note : actor.inbox) actor.read(note);  // reading posts, and never to an inbox
+    actor.inbox.clear();
     return any;
   }
 
   void sort_post() {
-    while (!around.post.empty()) {
-      Note note = std::move(around.post.front());
-      around.post.pop_front();
+    for (Note& note : around.post) {
       if (note.to == Part::roster) roster.inbox.push_back(std::move(note));
       else if (note.to == Part::ring) ring.inbox.push_back(std::move(note));
       else if (note.to == Part::desk) desk.inbox.push_back(std::move(note));
@@ -877,6 +882,7 @@
         found->second.inbox.push_back(std::move(note));
       }
     }
+    around.post.clear();
   }
 
   // The one loop: empties the inboxes, always in the same order, until no note is left.
@@ -894,9 +900,12 @@
 };
 
 Choice::Choice(Settings settings, std::uint64_t seed, Tenths now)
-    : parts_(std::make_unique<Parts>(std::move(settings), seed, now)) {}
+    : parts_(std::make_unique<Parts>(settings, seed, now)) {}
 Choice::~Choice() = default;
-void Choice::adopt(Settings settings) { parts_->around.settings = std::move(settings); }
+void Choice::adopt(Settings settings) {
+  parts_->around.rules = Rules(settings);
+  parts_->around.settings = std::move(settings);
+}
 
 std::vector<Action> Choice::take(Tenths now, const std::vector<Event>& events) {
   parts_->around.now = std::max(now, parts_->around.now);
--- a/src/notes.h
+++ b/src/notes.h
@@ -51,8 +51,6 @@
   return sum;
 }
 
-inline double nodes(const Settings& settings) { return std::max(1.0, number(settings, "nodes", 1)); }
-
 // The prefix of the settings of the one that bears this name in a list of settings; empty if none does.
 inline std::string entry(const Settings& settings, const std::string& list, const std::string& name) {
   for (int i = 0;; ++i) {
@@ -67,6 +65,30 @@
   return out.substr(0, out.find('.') + 3);
 }
 
+// What the settings say that is asked for with every event, looked up once. Throws naming a missing rule.
+struct Rules {
+  double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
+  double shortest_goal, longest_expiry, max_tries;
+  bool probes_allowed, on_request;
+  std::string zone;
+  explicit Rules(const Settings& from)
+      : nodes(std::max(1.0, number(from, "nodes", 1))),
+        cold_from(needed(from, "cold_from")),
+        cold_time(needed(from, "cold_time")),
+        fall_time(needed(from, "fall_time")),
+        fall_multiple(needed(from, "fall_multiple")),
+        drain_grace(needed(from, "drain_grace")),
+        ask_within(number(from, "ask_within", 0)),
+        report_load(number(from, "report.load", -1)),
+        granted(total(from, "tenant.", ".open")),
+        shortest_goal(extreme(from, "message_goal.", "", -1, 0)),
+        longest_expiry(extreme(from, "traffic.", ".expiry", 1, static_cast<double>(INT64_MAX / 2))),
+        max_tries(number(from, "max_tries", 1)),
+        probes_allowed(number(from, "probes_allowed", 0) != 0),
+        on_request(text(from, "discovery") == "on_request"),
+        zone(text(from, "zone")) {}
+};
+
 // What a host tells the others of itself.
 struct Card {
   std::string zone;
@@ -82,6 +104,7 @@
   Tenths shedding = 0;    // as dropping connections that stood,
   Tenths cold = 0;        // and as cold
   Tenths due = 0;         // when it wants to be woken
+  bool operator==(const Card&) const = default;
 };
 
 // What the roster tells everyone of the fleet.
@@ -180,11 +203,15 @@
   std::vector<Point> points_;
 };
 
+// Notes in the order they came. Keeps its memory, so that a note costs none once the node has run a while.
+using Inbox = std::vector<Note>;
+
 struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
   Settings settings;
+  Rules rules;
   Chance chance;
   Tenths now;
-  std::deque<Note> post;
+  Inbox post;
   std::vector<Action> actions;
   void act(ActionKind kind, const std::string& id, const std::string& host, int number = 0, Tenths time = 0) {
     actions.push_back({kind, id, host, "", number, time});
@@ -198,9 +225,10 @@
     return post.back();
   }
   Note& pass_on(Note note, Part to, Topic topic) {  // all else stays as it is
-    note.to = to;
-    note.topic = topic;
-    return post.emplace_back(std::move(note));
+    post.push_back(std::move(note));
+    post.back().to = to;
+    post.back().topic = topic;
+    return post.back();
   }
   void log(std::string line) { actions.push_back({ActionKind::log, "", "", std::move(line), 0, 0}); }
 };
