A host called gone without a drain serves on while its probes do, where only drains bind

Lines at fault: Host::leaves and may_be_sent took the list's word alone. Change: with guarantees.drainBindsAlone a host that is called gone, or left out, without a drain seen here is probed at once and used while no probe of it is in doubt. Where gone binds nothing changes. Guards also against an old or empty list; could do harm where a stopped host's address answers probes for another.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -109,7 +109,7 @@
     card_.size = listing.size > 0 ? listing.size : 1;
     started_ = listing.started;
     if (listing.state != HostState::healthy) return leaves(listing.state);
-    state_ = HostState::healthy;
+    state_ = HostState::healthy, claimed_gone_ = false;
     if (fresh || restarted || (!known_ && cold())) {  // danger: a cold host at full weight falls over
       step_ = 0, step_since_ = around_.now;
       probes_ = setups_ = Signal();
@@ -119,10 +119,20 @@
     known_ = true;
   }
 
+  // Danger: a list that is wrong takes hosts away that still serve all that stands there. Where only a drain
+  // binds, one called gone without a drain is taken for what its probes say; the first one is due at once.
   void leaves(HostState state) {
+    if (state == HostState::gone && state_ == HostState::healthy && around_.rules.drain_binds_alone) {
+      if (claimed_gone_) return;
+      claimed_gone_ = true, next_probe_ = around_.now;
+      return around_.log("host " + id_ + " is called gone, its probes decide");
+    }
     if (state_ == HostState::healthy) left_at_ = around_.now;
     state_ = state;
   }
+  bool in_service() const {
+    return state_ == HostState::healthy && !(claimed_gone_ && probes_.in_doubt());
+  }
 
   Tenths age() const {
     return started_ > 0 ? around_.now - started_ : static_cast<Tenths>(around_.rules.cold_time);
@@ -137,6 +147,7 @@
       const bool in_grace = around_.now - left_at_ < around_.rules.drain_grace - kPulse;
       return state_ == HostState::draining && attachment.mid_flow && in_grace;
     }
+    if (!in_service()) return false;
     if (cold()) return cold_allows();
     // Danger: a host in time again is filled to where it was late before, and nobody there is served.
     const bool capped = cap_at_ > 0 && around_.now - cap_at_ < kCapHeld;
@@ -265,7 +276,7 @@
     return (!probes_.good && silent_) || (strained() && delay_ > around_.rules.longest_expiry);
   }
   bool late() const { return strained() && delay_ * 2 > around_.rules.shortest_goal; }
-  bool leaving() const { return state_ != HostState::healthy; }
+  bool leaving() const { return !in_service(); }
   bool relieves() const { return card_.open > 0 && (dead() || late() || leaving()); }
 
   void relieve() {
@@ -348,7 +359,7 @@
   void tell() {
     card_.score = score();
     card_.weight = card_.score / 100 * kRamp[step_];
-    card_.healthy = state_ == HostState::healthy;
+    card_.healthy = in_service();
     card_.strained = strained_at_ > 0 ? strained_at_ + kStrainHeld : 0;
     card_.late = delay_ > around_.rules.shortest_goal ? card_.strained : 0;
     card_.shedding = shed_at_ > 0 ? shed_at_ + kStrainHeld : 0;
@@ -367,6 +378,7 @@
   Fleet fleet_;
   HostState state_ = HostState::gone;
   bool known_ = false, probe_out_ = false;
+  bool claimed_gone_ = false;  // the list says so, and it does not bind
   bool silent_ = false;  // the last probe had no answer at all
   Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0,
          relief_since_ = 0;
--- a/src/notes.h
+++ b/src/notes.h
@@ -69,7 +69,7 @@
 struct Rules {
   double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
   double shortest_goal, longest_expiry, max_tries;
-  bool probes_allowed, on_request;
+  bool probes_allowed, drain_binds_alone, on_request;
   std::string zone;
   explicit Rules(const Settings& from)
       : nodes(std::max(1.0, number(from, "nodes", 1))),
@@ -85,6 +85,7 @@
         longest_expiry(extreme(from, "traffic.", ".expiry", 1, static_cast<double>(INT64_MAX / 2))),
         max_tries(number(from, "max_tries", 1)),
         probes_allowed(number(from, "probes_allowed", 0) != 0),
+        drain_binds_alone(number(from, "drain_binds_alone", 0) != 0),
         on_request(text(from, "discovery") == "on_request"),
         zone(text(from, "zone")) {}
 };
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -27,6 +27,7 @@
     {"/guarantees/fallMs", "fall_time", true},
     {"/guarantees/fallMultiple", "fall_multiple", false},
     {"/guarantees/stopSendingWithinMs", "drain_grace", true},
+    {"/guarantees/drainBindsAlone", "drain_binds_alone", false},
     {"/bounds/maxAttempts", "max_tries", false},
     {"/bounds/maxRetryAfterMs", "max_come_back", true},
     {"/bounds/retryAfter", "come_back_told", false},
