Hosts that tell of room are asked in a crowd too; nobody with a second left waits for a probe

Ruled out: full tables, cold budgets, shares. Lines: Desk::ask cut the route; Host::crowd_allows knew nothing of what the host itself tells. Change: a host whose probe of the last 1.5 s told of load under kFull takes four times the crowd's rate and is asked beyond the narrow route. Could do harm where reports are stale by more than that; probes bound it.

Now who has less than a second left is not held. Test: Looks.AnAttachmentWithLittleTimeLeftIsNotHeldForAProbe.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,6 +47,7 @@
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
 constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
+constexpr double kRoomy = 4;                        // times as many where the host itself tells of room
 constexpr double kEase = 0.7;  // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
@@ -130,9 +131,7 @@
     if (state_ == HostState::healthy) left_at_ = around_.now;
     state_ = state;
   }
-  bool in_service() const {
-    return state_ == HostState::healthy && !(claimed_gone_ && probes_.in_doubt());
-  }
+  bool in_service() const { return state_ == HostState::healthy && !(claimed_gone_ && probes_.in_doubt()); }
 
   Tenths age() const {
     return started_ > 0 ? around_.now - started_ : static_cast<Tenths>(around_.rules.cold_time);
@@ -160,7 +159,9 @@
   bool crowd_allows() const {
     if (card_.open + kOverBy < kEase * fleet_.granted * card_.size / around_.rules.nodes) return true;
     const double least = std::min(kInrushLeast, kInrushAll / around_.rules.nodes);
-    const double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
+    double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
+    if (card_.roomy > around_.now)
+      rate *= kRoomy;  // what it says itself goes before what others' trouble tells
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
@@ -197,7 +198,9 @@
   // Danger: at a node that probes a host once in minutes neither signal nor report tells of now. A host whose
   // last probe is older than a steady one would be is probed first; the attachment goes on with the answer.
   bool looks_first(const Note& note) const {
-    return !note.event.mid_flow && around_.rules.report_load >= 0 && note.looks < kLooks && !recent() &&
+    // An answer that comes after the expiry is none: who has little time left is not held for a look.
+    return !note.event.mid_flow && around_.rules.report_load >= 0 &&
+           note.event.expiry - around_.now > kSecond && note.looks < kLooks && !recent() &&
            (probe_out_ || may_be_probed());
   }
   bool recent() const { return around_.now - probed_at_ <= kProbeEvery; }
@@ -220,6 +223,7 @@
     const double at = around_.rules.report_load;
     const bool told = at >= 0 && at < static_cast<double>(event.report.size());
     load_ = told ? event.report[static_cast<std::size_t>(at)] : 0;
+    card_.roomy = told && load_ < kFull ? around_.now + kProbeEvery : 0;
     for (Note& note : std::exchange(waiting_, {})) {
       if (event.outcome != Outcome::honoured) ++note.looks;
       else note.hosts.insert(note.hosts.begin(), id_);  // asked once more
@@ -367,8 +371,11 @@
     card_.due = std::min(next_climb(), may_be_probed() ? next_probe_ : kNever);
     if (relieves()) card_.due = std::min(card_.due, next_relief_);
     if (told_ == card_) return;
+    around_.write(Part::roster, Topic::card, id_).card = card_;
+    if (told_) told_->due = card_.due;
+    if (told_ == card_) return;  // when it is due concerns the roster alone
     told_ = card_;
-    for (const Part to : {Part::roster, Part::ring}) around_.write(to, Topic::card, id_).card = card_;
+    around_.write(Part::ring, Topic::card, id_).card = card_;
   }
 
   Surroundings& around_;
@@ -379,7 +386,7 @@
   HostState state_ = HostState::gone;
   bool known_ = false, probe_out_ = false;
   bool claimed_gone_ = false;  // the list says so, and it does not bind
-  bool silent_ = false;  // the last probe had no answer at all
+  bool silent_ = false;        // the last probe had no answer at all
   Tenths started_ = 0, left_at_ = 0, next_probe_ = 0, step_since_ = 0, strained_at_ = 0, shed_at_ = 0,
          relief_since_ = 0;
   Signal probes_, setups_;
@@ -602,7 +609,14 @@
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     Note& route = around_.pass_on(seek, Part::desk, Topic::route);
     route.hosts.clear();
-    for (auto& [rank, id] : ranked) route.hosts.push_back(std::move(id));
+    // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
+    // Hosts that tell of room are asked all the same: a client turned away stays out for longer than they are
+    // paid.
+    const bool crowd = seek.fleet.crowd_limit > 0;
+    const auto asks = std::max<std::size_t>(1, static_cast<std::size_t>(kScatter / around_.rules.nodes));
+    for (auto& [rank, id] : ranked)
+      if (!crowd || route.hosts.size() < asks || cards_[id].roomy > around_.now)
+        route.hosts.push_back(std::move(id));
   }
 
   // Danger: a repeat outside the group that knows the mark takes effect a second time.
@@ -806,10 +820,6 @@
     Note& note = around_.pass_on(route, Part::host, Topic::offer);
     note.host = route.hosts.front();
     note.hosts.erase(note.hosts.begin());
-    // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
-    const std::size_t asks = std::max<std::size_t>(1, kScatter / around_.rules.nodes) - 1;
-    if (route.topic == Topic::route && route.fleet.crowd_limit > 0 && note.hosts.size() > asks)
-      note.hosts.resize(asks);
   }
 
   void send(const std::string& id, const std::string& host) {
--- a/src/notes.h
+++ b/src/notes.h
@@ -103,6 +103,7 @@
   Tenths strained = 0;    // until when its messages count as slow,
   Tenths late = 0;        // as so slow that none is in time,
   Tenths shedding = 0;    // as dropping connections that stood,
+  Tenths roomy = 0;       // as telling of room,
   Tenths cold = 0;        // and as cold
   Tenths due = 0;         // when it wants to be woken
   bool operator==(const Card&) const = default;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -399,6 +399,71 @@
   EXPECT_TRUE(fake.said(ActionKind::reject, "a"));
 }
 
+// As it was met: 22 ms left, a probe that took 40, the final answer 20 ms after the grace.
+TEST(Looks, AnAttachmentWithLittleTimeLeftIsNotHeldForAProbe) {
+  Fake fake;
+  fake.settings["report.load"] = 0.0;
+  fake.start(2);
+  fake.arrive("a", 1);
+  Event answer;
+  answer.kind = EventKind::probe_ended;
+  answer.host = fake.probes.begin()->first;
+  answer.report = {0.2};
+  fake.tell(answer);
+  ASSERT_EQ(fake.tries["a"].size(), 1u);
+  fake.now += 30000 - 220;
+  fake.end("a", Outcome::error);
+  EXPECT_TRUE(fake.said(ActionKind::setup_try, "a") || fake.said(ActionKind::reject, "a"));
+}
+
+TEST(Lists, WhereOnlyDrainsBindAHostCalledGoneServesOnWhileItsProbesDo) {
+  for (const bool binds_alone : {true, false}) {
+    Fake fake;
+    fake.settings["drain_binds_alone"] = binds_alone ? 1.0 : 0.0;
+    fake.start(1);
+    fake.arrive("stands");
+    fake.stand("stands");
+    fake.list(Fake::listing("h0"), HostState::gone);
+    EXPECT_EQ(fake.arrive("a"), binds_alone ? "h0" : "");
+    fake.pass(20000);
+    EXPECT_EQ(fake.arrive("b"), binds_alone ? "h0" : "");
+    if (binds_alone) EXPECT_TRUE(fake.moved.empty());
+    fake.silent.insert("h0");
+    fake.pass(20000);
+    EXPECT_EQ(fake.arrive("c"), "") << "the list and its probes agree";
+  }
+}
+
+TEST(Lists, ADrainBindsAlsoWhenTheHostIsCalledGoneAfterwards) {
+  Fake fake;
+  fake.settings["drain_binds_alone"] = 1.0;
+  fake.start(1);
+  fake.list(Fake::listing("h0"), HostState::draining);
+  fake.list(Fake::listing("h0"), HostState::gone);
+  fake.pass(30000);
+  EXPECT_EQ(fake.arrive("a"), "");
+}
+
+TEST(Crowds, AHostThatTellsOfRoomIsAskedAlsoByAGroupThatIsKeptTogether) {
+  Fake fake;
+  fake.settings["nodes"] = 400.0;
+  fake.settings["report.load"] = 0.0;
+  fake.start(8);
+  for (int i = 0; i < 8; ++i) {
+    Event answer;
+    answer.kind = EventKind::probe_ended;
+    answer.host = "h" + std::to_string(i);
+    answer.report = {0.1};
+    fake.tell(answer);
+  }
+  fake.arrive("first", 1);
+  fake.stand("first");
+  fake.delay("first", 600);
+  std::set<std::string> used;
+  for (int i = 0; i < 40; ++i) used.insert(fake.arrive("a" + std::to_string(i), 1));
+  EXPECT_GT(used.size(), 3u);
+}
+
 TEST(Crowds, AGroupIsNotScatteredOverEveryHostThatStillTakesOne) {
   Fake fake;
   fake.settings["nodes"] = 400.0;
