Heavy work of little value gives way while denser work is turned away for want of room

Change: the desk keeps the last loads told for each type (load notes, unused before) and its gain, value over mean load. While the crowd limit is on, what has under a quarter of the gain of something that found no room in the last 1.5 s is rejected at once.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,7 +48,8 @@
 constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
 constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
 constexpr double kRoomy = 4;                        // times as many where the host itself tells of room
-constexpr double kEase = 0.7;  // of this node's part of what the shares grant: a crowd does no harm below
+constexpr double kFarMore = 4;  // times the gain: less of a difference does not make up for a type shut out
+constexpr double kEase = 0.7;   // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
 constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
@@ -693,6 +694,7 @@
       case EventKind::established: stands(held, event); break;
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
+      case EventKind::load_told: load_told(held.event.traffic_type, event.figure); break;
       case EventKind::delay_told: tell_host(event, event.host); break;
       case EventKind::unanswered:  // danger: it hangs though its host serves others, or while frozen
         if (held.standing && !held.answered && event.figure >= kLineSilent) move(held);
@@ -825,6 +827,27 @@
     return share > 0 && open + 1 >= share + kOverBy;  // danger: a share under one shuts its tenant out
   }
 
+  void load_told(const std::string& type, double load) {
+    std::deque<double>& samples = loads_[type];
+    samples.push_back(load);
+    if (samples.size() > kTimes) samples.pop_front();
+  }
+  // What a type of traffic is worth for the load it brings, as its connections here have told; 0: unknown.
+  double gain(const Attachment& held) const {
+    const auto found = loads_.find(held.event.traffic_type);
+    if (found == loads_.end()) return 0;
+    double sum = 0;
+    for (const double load : found->second) sum += load;
+    return sum > 0 ? of_type(held, "value", 0) * static_cast<double>(found->second.size()) / sum : 0;
+  }
+  // Danger: while room is short, heavy work of little value takes the room of many that are worth far more.
+  bool yields(const Attachment& held) {
+    std::erase_if(turned_away_, [this](const auto& one) { return around_.now - one.first > kStrainHeld; });
+    const double own = gain(held);
+    return own > 0 && std::any_of(turned_away_.begin(), turned_away_.end(),
+                                  [&](const auto& one) { return one.second > kFarMore * own; });
+  }
+
   void seek(Attachment& held) {
     if (!may_be_tried_again(held) || (limited() && out_ >= window_)) return give_up(held);
     Note& note = around_.write(Part::roster, Topic::seek);
@@ -845,7 +868,9 @@
     const auto found = held_.find(route.event.id);
     if (found == held_.end() || found->second.answered) return;
     Attachment& held = found->second;
-    const bool gives_way = route.topic == Topic::route && route.fleet.crowd_limit > 0 && beyond_share(held);
+    const bool crowd = route.fleet.crowd_limit > 0;
+    const bool gives_way = route.topic == Topic::route && crowd && (beyond_share(held) || yields(held));
+    if (crowd && route.hosts.empty()) turned_away_.emplace_back(around_.now, gain(held));
     if (gives_way || route.hosts.empty() || around_.now >= held.event.expiry) return give_up(held);
     Note& note = around_.pass_on(route, Part::host, Topic::offer);
     note.host = route.hosts.front();
@@ -884,7 +909,10 @@
   Surroundings& around_;
   std::map<std::string, Attachment> held_;
   std::map<std::string, std::pair<Tenths, bool>>
-      lately_;         // each host's last set-up of this second: when, good
+      lately_;                                       // each host's last set-up of this second: when, good
+  std::map<std::string, std::deque<double>> loads_;  // of the connections of a type, as last told
+  std::vector<std::pair<Tenths, double>>
+      turned_away_;    // in a crowd for want of room lately: when, and its gain
   double window_ = 1;  // set-ups that may be out while they go wrong everywhere
   int out_ = 0;
   Tenths cut_at_ = 0;
@@ -909,7 +937,6 @@
         desk(around) {}
 
   void deliver(const Event& event) {
-    if (event.kind == EventKind::load_told) return;  // nothing is decided by it
     if (event.kind <= EventKind::stopping) around.write(Part::roster, Topic::event).event = event;
     else if (event.id.empty() && !event.host.empty())  // of a probe, or a delay where nothing stands
       around.write(Part::host, Topic::event, event.host).event = event;
