Notes on sheets used again, one order for a route, each host's points counted once a walk

Change: the post owns the notes and hands pointers; the order of a route is shared; Circle::walk counts a host's points once and ends when none is left. Out: Step, the set of stirred hosts.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -227,8 +227,8 @@
     card_.roomy = told && load_ < kFull ? around_.now + kProbeEvery : 0;
     for (Note& note : std::exchange(waiting_, {})) {
       if (event.outcome != Outcome::honoured) ++note.looks;
-      else note.hosts.insert(note.hosts.begin(), id_);  // asked once more
-      around_.pass_on(std::move(note), Part::desk, Topic::passed);
+      else --note.asked;  // asked once more
+      around_.pass_on(note, Part::desk, Topic::passed);
     }
   }
 
@@ -593,31 +593,33 @@
   void answer(const Note& seek) {
     if (std::exchange(stale_, false))
       circle_.lay(cards_, [this](const Card& card) { return points_of(card); });
-    std::vector<std::pair<int, std::string>> ranked;  // rank, then the order of the ring
+    std::vector<std::pair<int, const std::string*>> ranked;  // rank, then the order of the ring
     std::size_t good = 0, homes = seek.homes.size();
-    circle_.walk(key_of(seek.event), [&](const std::string& id, const Card& card, int number) {
-      const double weight = seek.event.mid_flow ? 1 : card.weight;
-      if (number >= std::lround(weight * points_of(card))) return Step::not_its_point;
+    const auto taken = [&](const Card& card) {  // so many of its points are its own
+      return static_cast<int>(std::lround((seek.event.mid_flow ? 1 : card.weight) * points_of(card)));
+    };
+    circle_.walk(key_of(seek.event), taken, [&](const std::string& id, const Card& card) {
       homes -= seek.homes.count(id);
       const bool fits = seek.host.empty() || drops_repeats(seek, card);
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
       const bool over = std::max(card.shedding, card.late) > around_.now && !seek.event.mid_flow;
-      if (fits && !over) ranked.emplace_back(rank(seek, id, card), id);
+      if (fits && !over) ranked.emplace_back(rank(seek, id, card), &id);
       if (fits && !over && ranked.back().first <= 1) ++good;
-      return good >= kEnough && homes == 0 ? Step::enough : Step::next;
+      return good < kEnough || homes > 0;
     });
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     Note& route = around_.pass_on(seek, Part::desk, Topic::route);
-    route.hosts.clear();
+    route.homes.clear(), route.hosts.clear();
+    auto order = std::make_shared<std::vector<std::string>>();
     // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
     // Hosts that tell of room are asked all the same: a client turned away stays out for longer than they are
     // paid.
     const bool crowd = seek.fleet.crowd_limit > 0;
     const auto asks = std::max<std::size_t>(1, static_cast<std::size_t>(kScatter / around_.rules.nodes));
-    for (auto& [rank, id] : ranked)
-      if (!crowd || route.hosts.size() < asks || cards_[id].roomy > around_.now)
-        route.hosts.push_back(std::move(id));
+    for (const auto& [rank, id] : ranked)
+      if (!crowd || order->size() < asks || cards_[*id].roomy > around_.now) order->push_back(*id);
+    route.order = std::move(order);
   }
 
   // Danger: a repeat outside the group that knows the mark takes effect a second time.
@@ -843,6 +845,7 @@
   // Danger: while room is short, heavy work of little value takes the room of many that are worth far more.
   bool yields(const Attachment& held) {
     std::erase_if(turned_away_, [this](const auto& one) { return around_.now - one.first > kStrainHeld; });
+    if (turned_away_.empty()) return false;
     const double own = gain(held);
     return own > 0 && std::any_of(turned_away_.begin(), turned_away_.end(),
                                   [&](const auto& one) { return one.second > kFarMore * own; });
@@ -870,11 +873,11 @@
     Attachment& held = found->second;
     const bool crowd = route.fleet.crowd_limit > 0;
     const bool gives_way = route.topic == Topic::route && crowd && (beyond_share(held) || yields(held));
-    if (crowd && route.hosts.empty()) turned_away_.emplace_back(around_.now, gain(held));
-    if (gives_way || route.hosts.empty() || around_.now >= held.event.expiry) return give_up(held);
+    const bool none = route.asked >= route.order->size();
+    if (crowd && none) turned_away_.emplace_back(around_.now, gain(held));
+    if (gives_way || none || around_.now >= held.event.expiry) return give_up(held);
     Note& note = around_.pass_on(route, Part::host, Topic::offer);
-    note.host = route.hosts.front();
-    note.hosts.erase(note.hosts.begin());
+    note.host = (*route.order)[note.asked++];
   }
 
   void send(const std::string& id, const std::string& host) {
@@ -928,7 +931,7 @@
   Ring ring;
   Desk desk;
   std::map<std::string, Host> hosts;
-  std::set<std::string> stirred;  // hosts with notes in their inbox
+  std::vector<std::pair<const std::string, Host>*> stirred;  // hosts with notes in their inbox
 
   Parts(const Settings& settings, std::uint64_t seed, Tenths now)
       : around{settings, Rules(settings), Chance(seed), now, {}, {}},
@@ -948,26 +951,25 @@
   template <class Actor>
   bool empty(Actor& actor) {
     const bool any = !actor.inbox.empty();
-    for (const Note& note : actor.inbox) actor.read(note);  // reading posts, and never to an inbox
+    for (const Note* note : actor.inbox) actor.read(*note);  // reading posts, and never to an inbox
     actor.inbox.clear();
     return any;
   }
 
   void sort_post() {
-    for (Note& note : around.post) {
-      if (note.to == Part::roster) roster.inbox.push_back(std::move(note));
-      else if (note.to == Part::ring) ring.inbox.push_back(std::move(note));
-      else if (note.to == Part::desk) desk.inbox.push_back(std::move(note));
+    while (const Note* note = around.post.next()) {
+      if (note->to == Part::roster) roster.inbox.push_back(note);
+      else if (note->to == Part::ring) ring.inbox.push_back(note);
+      else if (note->to == Part::desk) desk.inbox.push_back(note);
       else {
-        auto found = hosts.find(note.host);
-        if (found == hosts.end() && note.topic == Topic::listed)
-          found = hosts.try_emplace(note.host, around, note.host).first;
+        auto found = hosts.find(note->host);
+        if (found == hosts.end() && note->topic == Topic::listed)
+          found = hosts.try_emplace(note->host, around, note->host).first;
         if (found == hosts.end()) continue;
-        stirred.insert(found->first);
-        found->second.inbox.push_back(std::move(note));
+        if (found->second.inbox.empty()) stirred.push_back(&*found);
+        found->second.inbox.push_back(note);
       }
     }
-    around.post.clear();
   }
 
   // The one loop: empties the inboxes, always in the same order, until no note is left.
@@ -975,12 +977,14 @@
     for (bool any = true; any;) {
       sort_post();
       any = empty(roster);
-      for (const std::string& id : std::exchange(stirred, {})) any = empty(hosts.at(id)) || any;
+      std::sort(stirred.begin(), stirred.end(), [](auto* a, auto* b) { return a->first < b->first; });
+      for (auto* host : stirred) any = empty(host->second) || any;
+      stirred.clear();
       sort_post();
       any = empty(ring) || any;
       any = empty(desk) || any;
-      any = any || !around.post.empty();
     }
+    around.post.all_read();
   }
 };
 
--- a/src/notes.h
+++ b/src/notes.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <memory>
 #include <set>
 #include <stdexcept>
 #include <tuple>
@@ -133,13 +134,15 @@
   Listing listing;
   Card card;
   Fleet fleet;
-  std::vector<std::string> hosts;  // of a seek: those tried already; of a route: in the order to ask
-  std::set<std::string> homes;     // of a seek: the hosts that hold some of its group
-  std::string within;              // of a seek: "zone" or "cell" of `host`, where repeats are dropped
-  int looks = 0;                   // of an offer: hosts that were looked at for it and passed
-  double part = 0;                 // of an eviction: the part of the host's groups that is to go
-  bool standing = false;           // of a result: the connection had been established
-  bool fresh = false;              // of a listing: new to a list that was known
+  std::vector<std::string> hosts;                         // of a seek: those tried already
+  std::shared_ptr<const std::vector<std::string>> order;  // of a route: the hosts, as they are to be asked,
+  std::size_t asked = 0;                                  // and how many of them were
+  std::set<std::string> homes;                            // of a seek: the hosts that hold some of its group
+  std::string within;     // of a seek: "zone" or "cell" of `host`, where repeats are dropped
+  int looks = 0;          // of an offer: hosts that were looked at for it and passed
+  double part = 0;        // of an eviction: the part of the host's groups that is to go
+  bool standing = false;  // of a result: the connection had been established
+  bool fresh = false;     // of a listing: new to a list that was known
 };
 
 // What the desk keeps of an attachment, and the ring of its points.
@@ -158,7 +161,6 @@
 };
 
 // The points of the hosts in the order of the ring.
-enum class Step { not_its_point, next, enough };
 class Circle {
  public:
   template <class Points>
@@ -170,29 +172,32 @@
       for (int i = 0; i < points_of(card); ++i)
         points_.push_back(
             {hash(start + static_cast<unsigned>(i)), static_cast<std::uint32_t>(places_.size()), i});
-      places_.push_back({id, &card});
+      places_.push_back({&id, &card});
     }
     std::sort(points_.begin(), points_.end());
   }
 
-  // Visits each host once, at the first of its points that it takes for its own.
-  template <class Visit>
-  void walk(std::uint64_t key, Visit visit) const {
-    std::vector<bool> seen(places_.size());
-    std::size_t unseen = places_.size();
+  // Visits each host once, at the first of as many of its points as it has `taken`, while `visit` wants more.
+  template <class Taken, class Visit>
+  void walk(std::uint64_t key, Taken taken, Visit visit) const {
+    left_.clear();
+    std::size_t unseen = 0;
+    for (const Place& place : places_) {
+      left_.push_back(taken(*place.card));
+      unseen += left_.back() > 0 ? 1 : 0;
+    }
     auto at = std::lower_bound(points_.begin(), points_.end(), Point{key, 0, 0});
     for (std::size_t i = 0; i < points_.size() && unseen > 0; ++i, ++at) {
       if (at == points_.end()) at = points_.begin();
-      if (seen[at->place]) continue;
-      const Step step = visit(places_[at->place].id, *places_[at->place].card, at->number);
-      if (step == Step::enough) return;
-      if (step == Step::next) seen[at->place] = true, --unseen;
+      if (at->number >= left_[at->place]) continue;
+      left_[at->place] = 0, --unseen;
+      if (!visit(*places_[at->place].id, *places_[at->place].card)) return;
     }
   }
 
  private:
   struct Place {
-    std::string id;
+    const std::string* id;  // of the map that was laid
     const Card* card;
   };
   struct Point {
@@ -203,34 +208,54 @@
   };
   std::vector<Place> places_;
   std::vector<Point> points_;
+  mutable std::vector<int> left_;  // of a walk: the points of each host that still count
 };
 
-// Notes in the order they came. Keeps its memory, so that a note costs none once the node has run a while.
-using Inbox = std::vector<Note>;
+// Notes in the order they came; whose they are says Post.
+using Inbox = std::vector<const Note*>;
+
+// Owns the notes of one event and what follows from it, and hands out the same sheets again for the next: a
+// note stays where it is until then, and costs no memory once a node has run a while.
+class Post {
+ public:
+  Note& fresh() {
+    if (used_ == sheets_.size()) sheets_.push_back(std::make_unique<Note>());
+    else *sheets_[used_] = blank_;
+    return *sheets_[used_++];
+  }
+  Note* next() { return sorted_ < used_ ? sheets_[sorted_++].get() : nullptr; }
+  void all_read() { used_ = sorted_ = 0; }
+
+ private:
+  const Note blank_{};
+  std::vector<std::unique_ptr<Note>> sheets_;
+  std::size_t used_ = 0, sorted_ = 0;
+};
 
 struct Surroundings {  // what every part may use: the clock, settings, chance, the post and the way out
   Settings settings;
   Rules rules;
   Chance chance;
   Tenths now;
-  Inbox post;
   std::vector<Action> actions;
+  Post post;
   void act(ActionKind kind, const std::string& id, const std::string& host, int number = 0, Tenths time = 0) {
     actions.push_back({kind, id, host, "", number, time});
   }
   Note& write(Part to, Topic topic,
               const std::string& host = "") {  // posts a note; the caller fills in the rest
-    post.emplace_back();
-    post.back().to = to;
-    post.back().topic = topic;
-    post.back().host = host;
-    return post.back();
+    Note& note = post.fresh();
+    note.to = to;
+    note.topic = topic;
+    note.host = host;
+    return note;
   }
-  Note& pass_on(Note note, Part to, Topic topic) {  // all else stays as it is
-    post.push_back(std::move(note));
-    post.back().to = to;
-    post.back().topic = topic;
-    return post.back();
+  Note& pass_on(const Note& from, Part to, Topic topic) {  // all else stays as it is
+    Note& note = post.fresh();
+    note = from;
+    note.to = to;
+    note.topic = topic;
+    return note;
   }
   void log(std::string line) { actions.push_back({ActionKind::log, "", "", std::move(line), 0, 0}); }
 };
