drain_binds_alone in the language and in the node's JSON; what is no flag is refused with its place

Need: the new deployments hand over guarantees.drainBindsAlone. Change: a row in the schema (off without it), rendered and imported; refused in the language and in the platform's JSON with file, line and column; a sidecar may not switch it on where its platform has it off. Tests: a faulty file, the JSON's message, what the platform grants.

--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -34,6 +34,25 @@
   return from;
 }
 
+// Where the last of some words stands in a file, as line:column; for what a reader of JSON no longer knows.
+std::string place_of(const std::string& path, const std::string& words) {
+  std::ifstream file(path);
+  std::string line;
+  for (int number = 1; std::getline(file, line); ++number)
+    if (const std::size_t at = line.find(words); at != std::string::npos)
+      return path + ":" + std::to_string(number) + ":" + std::to_string(at + 1) + ": ";
+  return "";
+}
+
+// Danger: a flag that is none would let this node send to hosts that are gone, or keep it from those that are
+// not.
+void flags_hold(const json& from, const std::string& path) {
+  const json flag = from.value("/settings/guarantees/drainBindsAlone"_json_pointer, json(false));
+  if (!flag.is_boolean())
+    throw std::runtime_error(place_of(path, "\"drainBindsAlone\"") + "'drainBindsAlone' is " + flag.dump() +
+                             "; expected true or false");
+}
+
 // Danger: a file that is half right is not taken by halves.
 sidecar::Document good_one(const std::string& path, sidecar::Use use) {
   sidecar::Document document = sidecar::load(path, use);
@@ -95,7 +114,7 @@
   try {
     LogSettings log;
     json from;
-    if (files.language.empty()) from = platform_file(files.json);
+    if (files.language.empty()) from = platform_file(files.json), flags_hold(from, files.json);
     else {
       const sidecar::Document document = good_one(files.language, sidecar::Use::sidecar);
       from = sidecar::render(document);
--- a/src/sidecar/render.cpp
+++ b/src/sidecar/render.cpp
@@ -180,6 +180,12 @@
                                            ", the platform grants " + text_of(row, granted) +
                                            "; expected no more"});
   }
+  const Block* rules = document.find("rules");
+  const Setting* alone = rules ? rules->find("drain_binds_alone") : nullptr;
+  const json::json_pointer at(where(*row_of("rules", "drain_binds_alone"), 0).pointer);
+  if (alone && json_of(alone->value) == true && platform.value(at, json(false)) != true)
+    out.push_back(
+        {alone->value.place, "'drain_binds_alone' is on, the platform binds by 'gone' too; expected off"});
   return out;
 }
 
--- a/src/sidecar/schema.cpp
+++ b/src/sidecar/schema.cpp
@@ -86,6 +86,8 @@
        "after the expiry, for a final answer to count"},
       {"rules", "drain_grace", T::duration, 1, kMinute, "", "", "0.2", true, "/stopSendingWithinMs",
        "nothing new to a host later than this after it is known to leave"},
+      {"rules", "drain_binds_alone", T::flag, 0, 0, "", "off", "0.2", true, "/drainBindsAlone",
+       "only a drain binds; a host called gone, or left out, without one is used while its probes are good"},
       {"rules", "cold_from", T::share, 0.001, 1, "", "", "0.2", true, "/coldFrom",
        "of its capacity that a host has when it starts"},
       {"rules", "cold_time", T::duration, 1, kHour, "", "", "0.2", true, "/coldMs", "after which it is warm"},
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -411,6 +411,9 @@
   std::string other = sound;
   EXPECT_NE(reads(other.replace(other.find("127.0.0.1:2"), 11, "127.0.0.1:x")).fault.find("discovery"),
             std::string::npos);
+  std::string flag = sound;
+  flag.insert(flag.find("\"coldFrom\""), "\n\"drainBindsAlone\":1,");
+  EXPECT_EQ(reads(flag).fault, std::string(path) + ":2:1: 'drainBindsAlone' is 1; expected true or false");
   for (const std::string& bad : {std::string(), std::string("[]"), sound.substr(0, sound.size() / 2),
                                  std::string(R"({"name":"n0"})"), std::string(R"({"name":7,"listen":[]})")})
     EXPECT_FALSE(reads(bad).fault.empty()) << bad;
--- a/tests/sidecar/language.cpp
+++ b/tests/sidecar/language.cpp
@@ -359,6 +359,14 @@
   EXPECT_EQ(found[1].what, "'descriptors' is 256, the platform grants 128; expected no more");
   EXPECT_EQ(found[2].what, "'memory' is 32MiB, the platform grants 16MiB; expected no more");
   EXPECT_TRUE(beyond(document, nlohmann::json::object()).empty());
+  std::string looser = kGood;
+  looser.insert(looser.find("  drain_grace"), "  drain_binds_alone = on\n");
+  const Document alone = load_text(looser, "x.dw");
+  auto granted = render(alone);
+  EXPECT_EQ(granted["settings"]["guarantees"]["drainBindsAlone"], true);
+  EXPECT_TRUE(beyond(alone, granted).empty());
+  granted["settings"]["guarantees"].erase("drainBindsAlone");
+  ASSERT_EQ(beyond(alone, granted).size(), 1u) << "absent means that gone binds too";
 }
 
 TEST(Page, HasTheTableAndItsExamplesAreGood) {
