In a crowd the nodes of all zones gather a group on the same hosts, unless crossing is dear

Ruled out: caps, cold budgets, freeze (no line), CPU (0.06). Line at fault: Ring::rank puts the node's own zone first, so each zone gathers every group anew.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -631,7 +631,12 @@
 
   // Lower is asked earlier; within one rank the ring decides.
   int rank(const Note& seek, const std::string& id, const Card& card) const {
-    const bool near = card.zone == around_.rules.zone;
+    // Danger: in a crowd each zone's nodes gather a group on hosts of their own, and each pays for it: more
+    // than the connections weigh. Then its order on the ring is the same for all, unless crossing is dear and
+    // room is not known to be short.
+    const bool gathers =
+        seek.event.group && seek.fleet.crowd_limit > 0 && (seek.shortage || !around_.rules.dear);
+    const bool near = card.zone == around_.rules.zone || gathers;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
     const bool home = seek.homes.count(id) != 0;  // the group's work is paid for there already
@@ -864,6 +869,7 @@
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
     }
     note.within = held.group;
+    note.shortage = !turned_away_.empty() && around_.now - turned_away_.back().first < kStrainHeld;
   }
 
   // Asks the next host of a route; each host answers with a note of its own.
--- a/src/notes.h
+++ b/src/notes.h
@@ -68,9 +68,10 @@
 
 // What the settings say that is asked for with every event, looked up once. Throws naming a missing rule.
 struct Rules {
+  static constexpr double kDear = 0.1;  // of all that service can be worth, for crossing zones each time
   double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
   double shortest_goal, longest_expiry, max_tries;
-  bool probes_allowed, drain_binds_alone, on_request;
+  bool probes_allowed, drain_binds_alone, on_request, dear;
   std::string zone;
   explicit Rules(const Settings& from)
       : nodes(std::max(1.0, number(from, "nodes", 1))),
@@ -88,6 +89,7 @@
         probes_allowed(number(from, "probes_allowed", 0) != 0),
         drain_binds_alone(number(from, "drain_binds_alone", 0) != 0),
         on_request(text(from, "discovery") == "on_request"),
+        dear(number(from, "price_crossing", 0) > kDear),
         zone(text(from, "zone")) {}
 };
 
@@ -142,6 +144,7 @@
   int looks = 0;          // of an offer: hosts that were looked at for it and passed
   double part = 0;        // of an eviction: the part of the host's groups that is to go
   bool standing = false;  // of a result: the connection had been established
+  bool shortage = false;  // of a seek: some attachment found no host a moment ago
   bool fresh = false;     // of a listing: new to a list that was known
 };
 
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -522,6 +522,33 @@
   }
 }
 
+TEST(Groups, InACrowdNodesOfAllZonesMeetAtOneHostUnlessCrossingIsDear) {
+  for (const double price : {0.02, 0.2}) {
+    std::map<std::string, std::vector<std::string>> placed;  // by node's zone: where ten groups go
+    for (const char* zone : {"near", "far"}) {
+      Fake fake;
+      fake.settings["zone"] = std::string(zone);
+      fake.settings["price_crossing"] = price;
+      fake.start(4);
+      for (int i = 0; i < 4; ++i)
+        fake.list(Fake::listing("f" + std::to_string(i), "far"), HostState::healthy);
+      fake.pass(100000);
+      fake.arrive("late", 1, "plain", false, 99);
+      fake.stand("late");
+      fake.delay("late", 600);
+      for (int i = 0; i < 10; ++i, fake.now += 20000) {
+        fake.delay("late", 600);
+        const std::string host = fake.arrive("a" + std::to_string(i), i, "plain", false, i);
+        placed[zone].push_back(host);
+      }
+    }
+    int same = 0;
+    for (int i = 0; i < 10; ++i)
+      same += !placed["near"][i].empty() && placed["near"][i] == placed["far"][i] ? 1 : 0;
+    EXPECT_EQ(same >= 4, price < 0.1) << same;
+  }
+}
+
 TEST(Lists, ManyNodesDoNotAskAtTheSameMomentAndNoneTooLate) {
   std::set<Tenths> asked;
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
