--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -66,9 +66,10 @@
   }
 }
 INSTANTIATE_TEST_SUITE_P(All, KeepsRules,
-                         testing::Values("calm", "silent", "slow", "rolling-drain", "cold-return",
-                                         "reconnect-crowd", "list-down", "node-killed", "zone-cut",
-                                         "neighbour", "growth", "everything", "small", "unrepeatable"));
+                         testing::Values("flapping", "mass-restart", "calm", "silent", "slow",
+                                         "rolling-drain", "cold-return", "reconnect-crowd", "list-down",
+                                         "node-killed", "zone-cut", "neighbour", "growth", "everything",
+                                         "small", "unrepeatable"));
 
 TEST(Sim, ATroubleCostsWhatItShould) {
   const double calm = simulate(example("calm"), 1, "dapplewharf").service();
