One judgement of short room that also bounds its list; the price's threshold is the module's

Attachments turned away in a crowd were forgotten only where a type's gain was compared, so a crowd beyond its tenant's share could let their list grow without bound; each seek forgets old ones now, in one place. The threshold for a dear crossing is a decision and stood in notes.h, which holds none: it is in choice.cpp. A comment named the last place where the first is looked up.

Seen and left, as it would change decisions: a try that ends honoured before it stood counts as bad for learn(), not for the host.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,6 +36,7 @@
 constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
 constexpr double kFull = 0.6;       // of capacity: messages begin to wait there
 constexpr double kScatter = 12;     // hosts that all nodes ask for one group while the crowd limit is on
+constexpr double kDear = 0.1;       // of all that service can be worth, for crossing zones each time
 constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
@@ -68,8 +69,7 @@
   // Returns true when the signal turns.
   bool add(bool result) {
     run = !results.empty() && results.back() == result ? run + 1 : 1;
-    results.push_back(result);
-    if (results.size() > kGoodRun) results.pop_front();
+    keep_last(results, result, kGoodRun);
     if (good == result || run < (result ? kGoodRun : kBadRun)) return false;
     good = result;
     return true;
@@ -634,8 +634,8 @@
     // Danger: in a crowd each zone's nodes gather a group on hosts of their own, and each pays for it: more
     // than the connections weigh. Then its order on the ring is the same for all, unless crossing is dear and
     // room is not known to be short.
-    const bool gathers =
-        seek.event.group && seek.fleet.crowd_limit > 0 && (seek.shortage || !around_.rules.dear);
+    const bool gathers = seek.event.group && seek.fleet.crowd_limit > 0 &&
+                         (seek.shortage || around_.rules.price_crossing <= kDear);
     const bool near = card.zone == around_.rules.zone || gathers;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
@@ -733,8 +733,7 @@
 
   void stands(Attachment& held, const Event& event) {
     held.standing = true;
-    times_.push_back(event.took);
-    if (times_.size() > kTimes) times_.pop_front();
+    keep_last(times_, event.took, kTimes);
     --out_;
     Event told = event;  // with the time beyond which a set-up is a bad one
     told.expiry = static_cast<Tenths>(of_type(held, "latency_goal", 0) / 2);
@@ -769,11 +768,10 @@
     if (!std::exchange(last.out, false)) return;
     last.may_have_run = event.outcome != Outcome::turned_away && event.outcome != Outcome::no_connection &&
                         event.outcome != Outcome::not_sent;
-    const bool says_nothing = event.outcome == Outcome::cancelled || event.outcome == Outcome::not_sent;
     Event told = event;
     if (!held.standing) {
       --out_;
-      if (!says_nothing) learn(last.host, false);
+      if (event.outcome != Outcome::cancelled && event.outcome != Outcome::not_sent) learn(last.host, false);
       if (behind_all()) told.outcome = Outcome::cancelled;
     }
     tell_host(told, last.host, held.standing);
@@ -834,11 +832,7 @@
     return share > 0 && open + 1 >= share + kOverBy;  // danger: a share under one shuts its tenant out
   }
 
-  void load_told(const std::string& type, double load) {
-    std::deque<double>& samples = loads_[type];
-    samples.push_back(load);
-    if (samples.size() > kTimes) samples.pop_front();
-  }
+  void load_told(const std::string& type, double load) { keep_last(loads_[type], load, kTimes); }
   // What a type of traffic is worth for the load it brings, as its connections here have told; 0: unknown.
   double gain(const Attachment& held) const {
     const auto found = loads_.find(held.event.traffic_type);
@@ -847,10 +841,14 @@
     for (const double load : found->second) sum += load;
     return sum > 0 ? of_type(held, "value", 0) * static_cast<double>(found->second.size()) / sum : 0;
   }
+  // Whether some attachment found no host a moment ago; what is older is forgotten here.
+  bool room_is_short() {
+    std::erase_if(turned_away_, [this](const auto& one) { return around_.now - one.first > kStrainHeld; });
+    return !turned_away_.empty();
+  }
   // Danger: while room is short, heavy work of little value takes the room of many that are worth far more.
   bool yields(const Attachment& held) {
-    std::erase_if(turned_away_, [this](const auto& one) { return around_.now - one.first > kStrainHeld; });
-    if (turned_away_.empty()) return false;
+    if (!room_is_short()) return false;
     const double own = gain(held);
     return own > 0 && std::any_of(turned_away_.begin(), turned_away_.end(),
                                   [&](const auto& one) { return one.second > kFarMore * own; });
@@ -869,7 +867,7 @@
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
     }
     note.within = held.group;
-    note.shortage = !turned_away_.empty() && around_.now - turned_away_.back().first < kStrainHeld;
+    note.shortage = room_is_short() && around_.now - turned_away_.back().first < kStrainHeld;
   }
 
   // Asks the next host of a route; each host answers with a note of its own.
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -34,7 +34,7 @@
   return from;
 }
 
-// Where the last of some words stands in a file, as line:column; for what a reader of JSON no longer knows.
+// Where some words first stand in a file, as FILE:LINE:COLUMN: ; for what a reader of JSON no longer knows.
 std::string place_of(const std::string& path, const std::string& words) {
   std::ifstream file(path);
   std::string line;
--- a/src/notes.h
+++ b/src/notes.h
@@ -66,12 +66,18 @@
   return out.substr(0, out.find('.') + 3);
 }
 
+// Adds a sample to the last few of its kind.
+template <class Sample>
+void keep_last(std::deque<Sample>& samples, Sample sample, std::size_t most) {
+  samples.push_back(sample);
+  if (samples.size() > most) samples.pop_front();
+}
+
 // What the settings say that is asked for with every event, looked up once. Throws naming a missing rule.
 struct Rules {
-  static constexpr double kDear = 0.1;  // of all that service can be worth, for crossing zones each time
   double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
-  double shortest_goal, longest_expiry, max_tries;
-  bool probes_allowed, drain_binds_alone, on_request, dear;
+  double shortest_goal, longest_expiry, max_tries, price_crossing;
+  bool probes_allowed, drain_binds_alone, on_request;
   std::string zone;
   explicit Rules(const Settings& from)
       : nodes(std::max(1.0, number(from, "nodes", 1))),
@@ -86,10 +92,10 @@
         shortest_goal(extreme(from, "message_goal.", "", -1, 0)),
         longest_expiry(extreme(from, "traffic.", ".expiry", 1, static_cast<double>(INT64_MAX / 2))),
         max_tries(number(from, "max_tries", 1)),
+        price_crossing(number(from, "price_crossing", 0)),
         probes_allowed(number(from, "probes_allowed", 0) != 0),
         drain_binds_alone(number(from, "drain_binds_alone", 0) != 0),
         on_request(text(from, "discovery") == "on_request"),
-        dear(number(from, "price_crossing", 0) > kDear),
         zone(text(from, "zone")) {}
 };
 
