--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -594,19 +594,26 @@
     if (std::exchange(stale_, false))
       circle_.lay(cards_, [this](const Card& card) { return points_of(card); });
     std::vector<std::pair<int, const std::string*>> ranked;  // rank, then the order of the ring
-    std::size_t good = 0, homes = seek.homes.size();
+    std::size_t good = 0;
+    std::set<std::string> homes = seek.homes;
     const auto taken = [&](const Card& card) {  // so many of its points are its own
       return static_cast<int>(std::lround((seek.event.mid_flow ? 1 : card.weight) * points_of(card)));
     };
-    circle_.walk(key_of(seek.event), taken, [&](const std::string& id, const Card& card) {
-      homes -= seek.homes.count(id);
+    const auto meet = [&](const std::string& id, const Card& card) {
+      homes.erase(id);
       const bool fits = seek.host.empty() || drops_repeats(seek, card);
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
       const bool over = std::max(card.shedding, card.late) > around_.now && !seek.event.mid_flow;
-      if (fits && !over) ranked.emplace_back(rank(seek, id, card), &id);
-      if (fits && !over && ranked.back().first <= 1) ++good;
-      return good < kEnough || homes > 0;
-    });
+      // Danger: where hosts are replaced, those that left stand first in a route and crowd out who is there.
+      if (!fits || over || (!card.healthy && !seek.event.mid_flow)) return true;
+      ranked.emplace_back(rank(seek, id, card), &id);
+      if (ranked.back().first <= 1) ++good;
+      return good < kEnough;
+    };
+    circle_.walk(key_of(seek.event), taken, meet);
+    for (const std::string& id : std::set<std::string>(homes))  // beyond the end of the walk
+      if (const auto home = cards_.find(id); home != cards_.end() && taken(home->second) > 0)
+        meet(home->first, home->second);
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     Note& route = around_.pass_on(seek, Part::desk, Topic::route);
