--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,6 +42,7 @@
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver = 4;     // the same where the group is paid for: elsewhere it is paid again
+constexpr double kPart = 2;           // hosts' means of its connections that one host takes of a group
 constexpr double kToldOver = 1.5;   // and where others tell what they hold, by when the word has come round
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
@@ -530,7 +531,7 @@
     if (all_size > 0) fleet.granted = around_.rules.granted / all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
-    if (hosts > 0) fleet.score = scores / hosts;
+    if (hosts > 0) fleet.score = scores / hosts, fleet.each = all_open / hosts;
     if (size > 0) fleet.bears = open / size;
     std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
@@ -584,8 +585,12 @@
 
   // The client key. Where connections of a group share work the group stands in for it: each host that holds
   // any of a group pays for it, and client keys would spread it over all hosts. Without either, the id.
-  static std::uint64_t key_of(const Event& event) {
-    if (event.group) return hash(static_cast<std::uint64_t>(*event.group));
+  // Danger: where a node holds next to nothing and hears of no other's, all nodes fill one host with a group
+  // that is larger than any host. Its members here tell how large it is: so many parts have keys of their own.
+  static std::uint64_t key_of(const Event& event, int parts) {
+    if (event.group)
+      return hash(static_cast<std::uint64_t>(*event.group) +
+                  (parts > 1 ? hash(event.id) % static_cast<std::uint64_t>(parts) : 0));
     if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
     return hash(event.id);
   }
@@ -610,7 +615,11 @@
       if (ranked.back().first <= 1) ++good;
       return good < kEnough;
     };
-    circle_.walk(key_of(seek.event), taken, meet);
+    const double each = seek.fleet.each;
+    const bool alone = seek.fleet.held < 0 && each < kOverBy && each > 0;
+    const int parts = alone ? 1 + static_cast<int>(seek.members / (kPart * each)) : 1;
+    circle_.walk(key_of(seek.event, parts), taken, meet);
+    if (parts > 1 && !ranked.empty() && ranked.front().first <= 3) ranked.front().first = 0;
     for (const std::string& id : std::set<std::string>(homes))  // beyond the end of the walk
       if (const auto home = cards_.find(id); home != cards_.end() && taken(home->second) > 0)
         meet(home->first, home->second);
@@ -868,7 +877,7 @@
     if (held.event.group)
       for (const auto& [id, other] : held_)
         if (other.standing && !other.answered && other.event.group == held.event.group)
-          note.homes.insert(other.tries.back().host);
+          note.homes.insert(other.tries.back().host), ++note.members;
     for (const Try& earlier : held.tries) {
       note.hosts.push_back(earlier.host);
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
--- a/src/notes.h
+++ b/src/notes.h
@@ -124,6 +124,7 @@
   double score = 100;      // mean of the others, where a new host starts
   double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
   double mean = 0;         // open connections for a size of 1, in this node's own zone
+  double each = 0;         // open connections for one host
   double held = -1;        // the same of all nodes, as far as told; below 0: unknown
   int spare = 0;           // moved connections that hosts with room may take in a second
   double sought = 0;       // how often a host was sought lately, for a size of 1
@@ -146,6 +147,7 @@
   std::shared_ptr<const std::vector<std::string>> order;  // of a route: the hosts, as they are to be asked,
   std::size_t asked = 0;                                  // and how many of them were
   std::set<std::string> homes;                            // of a seek: the hosts that hold some of its group
+  int members = 0;        // of a seek: connections of its group that stand here
   std::string within;     // of a seek: "zone" or "cell" of `host`, where repeats are dropped
   int looks = 0;          // of an offer: hosts that were looked at for it and passed
   double part = 0;        // of an eviction: the part of the host's groups that is to go
