--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -533,6 +533,7 @@
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
     if (hosts > 0) fleet.score = scores / hosts, fleet.each = all_open / hosts;
     if (size > 0) fleet.bears = open / size;
+    fleet.alone = fleet.held < 0 && fleet.each > 0 && fleet.each < kOverBy;
     std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
     // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
@@ -615,9 +616,7 @@
       if (ranked.back().first <= 1) ++good;
       return good < kEnough;
     };
-    const double each = seek.fleet.each;
-    const bool alone = seek.fleet.held < 0 && each < kOverBy && each > 0;
-    const int parts = alone ? 1 + static_cast<int>(seek.members / (kPart * each)) : 1;
+    const int parts = seek.fleet.alone ? 1 + static_cast<int>(seek.members / (kPart * seek.fleet.each)) : 1;
     circle_.walk(key_of(seek.event, parts), taken, meet);
     if (parts > 1 && !ranked.empty() && ranked.front().first <= 3) ranked.front().first = 0;
     for (const std::string& id : std::set<std::string>(homes))  // beyond the end of the walk
@@ -687,7 +686,7 @@
       case Topic::event: happened(note.event); break;
       case Topic::route:
       case Topic::passed: ask(note); break;
-      case Topic::evict: evict(note.host, note.part, note.fleet.spare); break;
+      case Topic::evict: evict(note.host, note.part, note.fleet.spare, note.fleet.alone); break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -797,12 +796,13 @@
 
   // Whole groups move, the same at every node, so that a group is paid for at one host and not at two.
   // Danger: a least of one at each of many nodes clears a host at a stroke; a group's hash says when it goes.
-  void evict(const std::string& host, double part, int spare) {
+  void evict(const std::string& host, double part, int spare, bool alone) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     for (auto& [id, held] : held_) {
       if (!held.standing || held.answered) continue;
       if (!host.empty() && held.tries.back().host != host) continue;
-      const auto group = hash(held.event.group ? static_cast<std::uint64_t>(*held.event.group) : hash(id));
+      const bool whole = held.event.group && !alone;
+      const auto group = hash(whole ? static_cast<std::uint64_t>(*held.event.group) : hash(id));
       if (static_cast<double>(hash(group ^ hash(host)) >> 32) >= part * 4294967296.0) continue;
       // Danger: moved work chases itself from host to host when few have room.
       if (static_cast<int>(moved_.size()) >= spare) return;
--- a/src/notes.h
+++ b/src/notes.h
@@ -125,6 +125,7 @@
   double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
   double mean = 0;         // open connections for a size of 1, in this node's own zone
   double each = 0;         // open connections for one host
+  bool alone = false;      // hosts hold next to nothing of this node, and of others nothing is told
   double held = -1;        // the same of all nodes, as far as told; below 0: unknown
   int spare = 0;           // moved connections that hosts with room may take in a second
   double sought = 0;       // how often a host was sought lately, for a size of 1
