--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -94,7 +94,7 @@
   void read(const Note& note) {
     if (note.topic != Topic::event && note.topic != Topic::unlisted) fleet_ = note.fleet;
     switch (note.topic) {
-      case Topic::listed: listed(note.listing, note.fresh); break;
+      case Topic::listed: listed(note.listing, note.fresh, note.held); break;
       case Topic::unlisted: leaves(HostState::gone); break;
       case Topic::pulse: climb(), probe(), relieve(); break;
       case Topic::offer: offered(note); break;
@@ -105,11 +105,12 @@
   }
 
  private:
-  void listed(const Listing& listing, bool fresh) {
+  void listed(const Listing& listing, bool fresh, double held) {
     const bool restarted = listing.started > started_ && known_;
     card_.zone = listing.zone;
     card_.cell = listing.cell;
     card_.size = listing.size > 0 ? listing.size : 1;
+    if (held >= 0) card_.elsewhere = std::max(0.0, held - card_.open);
     started_ = listing.started;
     if (listing.state != HostState::healthy) return leaves(listing.state);
     state_ = HostState::healthy, claimed_gone_ = false;
@@ -440,6 +441,7 @@
       Note& note = around_.write(Part::host, Topic::listed, listing.host);
       note.listing = listing;
       note.fleet = fleet;
+      if (around_.rules.live_weights) weigh(note);
       note.fresh = started_ && !listed_.count(listing.host);
     }
     if (event.kind != EventKind::list_changes)
@@ -452,6 +454,16 @@
     ask();
   }
 
+  // Danger: a weight that sinks as a host fills, late and alike at all nodes, moves the points of its groups and
+  // sends all nodes to whoever was empty a second ago. A host's size is the largest seen of its kind; what the
+  // weight lacks of it tells what the host holds, of all nodes.
+  void weigh(Note& note) {
+    double& largest = largest_[note.listing.kind];
+    largest = std::max(largest, note.listing.size);
+    if (note.listing.size > 0) note.held = largest * (largest / note.listing.size - 1);
+    if (largest > 0) note.listing.size = largest;
+  }
+
   // Danger: one service lists for all nodes; asked by all at once it turns most away, and they ask again.
   double spread() const {
     return std::min(kAskLatest * around_.rules.ask_within, kAskShared * around_.rules.nodes);
@@ -551,6 +563,7 @@
   Surroundings& around_;
   std::map<std::string, Card> cards_;
   std::set<std::string> listed_;
+  std::map<std::string, double> largest_;  // size of each kind of machine, where weights move
   std::set<std::pair<Tenths, std::string>> due_;
   std::deque<Tenths> sought_;  // when a host was sought lately
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
@@ -646,11 +659,11 @@
 
   // Lower is asked earlier; within one rank the ring decides.
   int rank(const Note& seek, const std::string& id, const Card& card) const {
-    // Danger: in a crowd each zone's nodes gather a group on hosts of their own, and each pays for it: more
-    // than the connections weigh. Then its order on the ring is the same for all, unless crossing is dear and
-    // room is not known to be short.
-    const bool gathers = seek.event.group && seek.fleet.crowd_limit > 0 &&
-                         (seek.shortage || around_.rules.price_crossing <= kDear);
+    // Danger: each zone's nodes gather a group on hosts of their own, and each pays for it: more than the
+    // connections weigh. Where crossing is cheap its order on the ring is the same for all; where it is dear
+    // only in a crowd, while room is known to be short.
+    const bool gathers = seek.event.group && (around_.rules.price_crossing <= kDear ||
+                                              (seek.fleet.crowd_limit > 0 && seek.shortage));
     const bool near = card.zone == around_.rules.zone || gathers;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -53,6 +53,7 @@
   Listing to;
   to.host = needed_text(from, "host");
   to.zone = text(from, "site");
+  to.kind = text(from, "type");
   to.cell = whole(from, "cell").value_or(0);
   const std::string_view state = needed_text(from, "state");
   to.state = state == "healthy"    ? HostState::healthy
--- a/src/notes.h
+++ b/src/notes.h
@@ -77,7 +77,7 @@
 struct Rules {
   double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
   double shortest_goal, longest_expiry, max_tries, price_crossing;
-  bool probes_allowed, drain_binds_alone, on_request;
+  bool probes_allowed, drain_binds_alone, live_weights, on_request;
   std::string zone;
   explicit Rules(const Settings& from)
       : nodes(std::max(1.0, number(from, "nodes", 1))),
@@ -95,6 +95,7 @@
         price_crossing(number(from, "price_crossing", 0)),
         probes_allowed(number(from, "probes_allowed", 0) != 0),
         drain_binds_alone(number(from, "drain_binds_alone", 0) != 0),
+        live_weights(text(from, "weights") == "live"),
         on_request(text(from, "discovery") == "on_request"),
         zone(text(from, "zone")) {}
 };
@@ -154,6 +155,7 @@
   double part = 0;        // of an eviction: the part of the host's groups that is to go
   bool standing = false;  // of a result: the connection had been established
   bool shortage = false;  // of a seek: some attachment found no host a moment ago
+  double held = -1;       // of a listing: what its host holds, as the weight tells; below 0: untold
   bool fresh = false;     // of a listing: new to a list that was known
 };
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -20,6 +20,7 @@
     {"/me", "me", false},
     {"/zone", "zone", false},
     {"/discovery", "discovery", false},
+    {"/weights", "weights", false},
     {"/guarantees/graceToAnswerMs", "grace_to_answer", true},
     {"/guarantees/askWithinMs", "ask_within", true},
     {"/guarantees/coldFrom", "cold_from", false},
--- a/src/words.h
+++ b/src/words.h
@@ -18,10 +18,10 @@
 enum class HostState { healthy, draining, gone };
 
 struct Listing {
-  std::string host, zone;
+  std::string host, zone, kind;  // the kind of its machine
   std::int64_t cell = 0;
   HostState state = HostState::healthy;
-  double size = 1;
+  double size = 1;     // as the list says it: what the setting `weights` tells
   Tenths started = 0;  // 0: long ago
 };
 
