--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -19,6 +19,7 @@
 constexpr double kAskShared = 40 * kMs;       // a list service's time for one node's inquiry
 constexpr double kAskLatest = 0.7;            // of the time after which a node is taken as told
 constexpr Tenths kSoughtSpan = 10 * kSecond;  // long enough for a quiet node to see how much comes
+constexpr double kLeastTold = 0.1;            // reported loads under this tell little of what a host bears
 constexpr Tenths kPulse = 100 * kMs;          // least time between two looks at the clock
 
 constexpr int kBadRun = 3, kGoodRun = 12;  // design: in a row, they turn a signal; a score looks at twelve
@@ -34,8 +35,10 @@
 constexpr Tenths kHurryShared = 65 * kMs;             // and of all nodes together that may be in doubt
 constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
 constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
-constexpr double kFull = 0.6;       // of capacity: messages begin to wait there
+constexpr double kFull = 0.8;       // of capacity: messages begin to wait there
 constexpr double kScatter = 12;     // hosts that all nodes ask for one group while the crowd limit is on
+constexpr double kBusy = 0.3;       // of capacity, over the fleet: what groups cost twice is missed from there
+constexpr double kWatch = 0.005;    // of all that service can be worth: what steady probes may cost
 constexpr double kDear = 0.1;       // of all that service can be worth, for crossing zones each time
 constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
@@ -227,6 +230,7 @@
     const bool told = at >= 0 && at < static_cast<double>(event.report.size());
     load_ = told ? event.report[static_cast<std::size_t>(at)] : 0;
     card_.roomy = told && load_ < kFull ? around_.now + kProbeEvery : 0;
+    card_.load = told ? load_ : -1;
     for (Note& note : std::exchange(waiting_, {})) {
       if (event.outcome != Outcome::honoured) ++note.looks;
       else --note.asked;  // asked once more
@@ -354,11 +358,18 @@
     return std::max(own, static_cast<Tenths>(shared * around_.rules.nodes));
   }
 
+  // Danger: where little comes, probes cost more than the service of what does come. A host that is asked about
+  // before it takes an attachment, and whose messages tell when it falls silent, is watched at a price.
+  Tenths watch() const {
+    if (around_.rules.report_load < 0 || fleet_.rate <= 0) return 0;
+    return static_cast<Tenths>(around_.rules.price_probe * fleet_.hosts / (kWatch * fleet_.rate) * kSecond);
+  }
+
   void probe() {
     if (!may_be_probed() || around_.now < next_probe_) return;
     probe_out_ = true;
     next_probe_ = around_.now + (in_doubt() ? probe_interval(kProbeHurry, kHurryShared)
-                                            : probe_interval(kProbeEvery, kProbeShared));
+                                            : std::max(watch(), probe_interval(kProbeEvery, kProbeShared)));
     sends(kProbeWork);
     around_.act(ActionKind::probe, "", id_);
   }
@@ -417,6 +428,7 @@
     if (note.topic == Topic::pulse) pulse();
     if (note.topic == Topic::seek) {
       sought_.push_back(around_.now);
+      if (note.hosts.empty()) keep_last(came_, around_.now, kTimes);
       const Fleet fleet = figures();
       around_.pass_on(note, Part::ring, Topic::seek).fleet = fleet;
     }
@@ -519,7 +531,7 @@
   Fleet figures() {
     Fleet fleet;
     double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
-    double near_open = 0, near_size = 0, near_held = 0, near_told = 0;
+    double near_open = 0, near_size = 0, near_held = 0, near_told = 0, told = 0, told_size = 0;
     const std::string& zone = around_.rules.zone;
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
@@ -534,6 +546,7 @@
         near_held += card.open + card.elsewhere, near_told += card.size;
       if (card.strained <= around_.now) roomy += card.size;
       if (card.cold <= around_.now) open += card.open, size += card.size;
+      if (card.cold <= around_.now && card.load >= 0) told += card.load * card.size, told_size += card.size;
     }
     const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
     fleet.crowd_limit = trouble ? kInrush : 0;
@@ -544,7 +557,12 @@
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
     if (hosts > 0) fleet.score = scores / hosts, fleet.each = all_open / hosts;
-    if (size > 0) fleet.bears = open / size;
+    if (told_size > 0) fleet.load = told / told_size;
+    // Danger: hosts that are hardly used are taken for weak, and the successors of a whole fleet stay empty.
+    if (size > 0) fleet.bears = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
+    if (!came_.empty())
+      fleet.rate = static_cast<double>(came_.size() * kSecond) / static_cast<double>(around_.now - came_.front() + kSecond);
+    fleet.hosts = hosts;
     fleet.alone = fleet.held < 0 && fleet.each > 0 && fleet.each < kOverBy;
     std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
@@ -566,6 +584,7 @@
   std::map<std::string, double> largest_;  // size of each kind of machine, where weights move
   std::set<std::pair<Tenths, std::string>> due_;
   std::deque<Tenths> sought_;  // when a host was sought lately
+  std::deque<Tenths> came_;    // when the last attachments came
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0, stopped_at_ = 0;
@@ -662,8 +681,10 @@
     // Danger: each zone's nodes gather a group on hosts of their own, and each pays for it: more than the
     // connections weigh. Where crossing is cheap its order on the ring is the same for all; where it is dear
     // only in a crowd, while room is known to be short.
-    const bool gathers = seek.event.group && (around_.rules.price_crossing <= kDear ||
-                                              (seek.fleet.crowd_limit > 0 && seek.shortage));
+    const bool crowd = seek.fleet.crowd_limit > 0;
+    const bool gathers = seek.event.group && (around_.rules.price_crossing <= kDear
+                                                  ? crowd || seek.fleet.load > kBusy
+                                                  : crowd && seek.shortage);
     const bool near = card.zone == around_.rules.zone || gathers;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
--- a/src/notes.h
+++ b/src/notes.h
@@ -76,7 +76,7 @@
 // What the settings say that is asked for with every event, looked up once. Throws naming a missing rule.
 struct Rules {
   double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
-  double shortest_goal, longest_expiry, max_tries, price_crossing;
+  double shortest_goal, longest_expiry, max_tries, price_crossing, price_probe;
   bool probes_allowed, drain_binds_alone, live_weights, on_request;
   std::string zone;
   explicit Rules(const Settings& from)
@@ -93,6 +93,7 @@
         longest_expiry(extreme(from, "traffic.", ".expiry", 1, static_cast<double>(INT64_MAX / 2))),
         max_tries(number(from, "max_tries", 1)),
         price_crossing(number(from, "price_crossing", 0)),
+        price_probe(number(from, "price_probe", 0)),
         probes_allowed(number(from, "probes_allowed", 0) != 0),
         drain_binds_alone(number(from, "drain_binds_alone", 0) != 0),
         live_weights(text(from, "weights") == "live"),
@@ -109,6 +110,7 @@
   double weight = 1;      // score and ramp together
   int open = 0;           // connections, with set-ups still out
   double elsewhere = -1;  // those of all other nodes, as told; below 0: unknown
+  double load = -1;       // over what it can do, as last reported; below 0: not of late
   bool healthy = false;   // listed and neither draining nor gone
   Tenths strained = 0;    // until when its messages count as slow,
   Tenths late = 0;        // as so slow that none is in time,
@@ -128,6 +130,9 @@
   double each = 0;         // open connections for one host
   bool alone = false;      // hosts hold next to nothing of this node, and of others nothing is told
   double held = -1;        // the same of all nodes, as far as told; below 0: unknown
+  double load = -1;        // of hosts over what they can do, as reported of late; below 0: unknown
+  double rate = 0;         // attachments a second at this node
+  int hosts = 0;           // that are up
   int spare = 0;           // moved connections that hosts with room may take in a second
   double sought = 0;       // how often a host was sought lately, for a size of 1
   double bears = 0;        // open connections that a warm host of size 1 bears for this node
