--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -460,7 +460,7 @@
       for (const std::string& host : listed_)
         if (!named.count(host)) around_.write(Part::host, Topic::unlisted, host);
     listed_.insert(named.begin(), named.end());
-    started_ = true;
+    if (!std::exchange(started_, true)) came_.push_back(around_.now);
     if (event.kind != EventKind::list_copy) return;
     ask_at_ = around_.now + static_cast<Tenths>(spread() * around_.chance.share());
     ask();
@@ -560,7 +560,7 @@
     if (told_size > 0) fleet.load = told / told_size;
     // Danger: hosts that are hardly used are taken for weak, and the successors of a whole fleet stay empty.
     if (size > 0) fleet.bears = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
-    if (!came_.empty())
+    if (!came_.empty())  // the first entry is the start
       fleet.rate = static_cast<double>(came_.size() * kSecond) / static_cast<double>(around_.now - came_.front() + kSecond);
     fleet.hosts = hosts;
     fleet.alone = fleet.held < 0 && fleet.each > 0 && fleet.each < kOverBy;
