--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,7 +53,6 @@
 constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
 constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
 constexpr double kRoomy = 4;                        // times as many where the host itself tells of room
-constexpr double kFarMore = 4;  // times the gain: less of a difference does not make up for a type shut out
 constexpr double kEase = 0.7;   // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
@@ -679,8 +678,8 @@
   // Lower is asked earlier; within one rank the ring decides.
   int rank(const Note& seek, const std::string& id, const Card& card) const {
     // Danger: each zone's nodes gather a group on hosts of their own, and each pays for it: more than the
-    // connections weigh. Where crossing is cheap its order on the ring is the same for all; where it is dear
-    // only in a crowd, while room is known to be short.
+    // connections weigh. Where crossing is cheap its order on the ring is the same for all while room counts;
+    // where it is dear only in a crowd, while some attachment finds no host.
     const bool crowd = seek.fleet.crowd_limit > 0;
     const bool gathers = seek.event.group && (around_.rules.price_crossing <= kDear
                                                   ? crowd || seek.fleet.load > kBusy
@@ -750,7 +749,6 @@
       case EventKind::established: stands(held, event); break;
       case EventKind::try_ended: ended(held, event); break;
       case EventKind::client_left: held.answered = true; break;
-      case EventKind::load_told: load_told(held.event.traffic_type, event.figure); break;
       case EventKind::delay_told: tell_host(event, event.host); break;
       case EventKind::unanswered:  // danger: it hangs though its host serves others, or while frozen
         if (held.standing && !held.answered && event.figure >= kLineSilent) move(held);
@@ -882,28 +880,6 @@
     return share > 0 && open + 1 >= share + kOverBy;  // danger: a share under one shuts its tenant out
   }
 
-  void load_told(const std::string& type, double load) { keep_last(loads_[type], load, kTimes); }
-  // What a type of traffic is worth for the load it brings, as its connections here have told; 0: unknown.
-  double gain(const Attachment& held) const {
-    const auto found = loads_.find(held.event.traffic_type);
-    if (found == loads_.end()) return 0;
-    double sum = 0;
-    for (const double load : found->second) sum += load;
-    return sum > 0 ? of_type(held, "value", 0) * static_cast<double>(found->second.size()) / sum : 0;
-  }
-  // Whether some attachment found no host a moment ago; what is older is forgotten here.
-  bool room_is_short() {
-    std::erase_if(turned_away_, [this](const auto& one) { return around_.now - one.first > kStrainHeld; });
-    return !turned_away_.empty();
-  }
-  // Danger: while room is short, heavy work of little value takes the room of many that are worth far more.
-  bool yields(const Attachment& held) {
-    if (!room_is_short()) return false;
-    const double own = gain(held);
-    return own > 0 && std::any_of(turned_away_.begin(), turned_away_.end(),
-                                  [&](const auto& one) { return one.second > kFarMore * own; });
-  }
-
   void seek(Attachment& held) {
     if (!may_be_tried_again(held) || (limited() && out_ >= window_)) return give_up(held);
     Note& note = around_.write(Part::roster, Topic::seek);
@@ -917,7 +893,7 @@
       if (held.effect == "deduplicated" && earlier.may_have_run) note.host = earlier.host;
     }
     note.within = held.group;
-    note.shortage = room_is_short() && around_.now - turned_away_.back().first < kStrainHeld;
+    note.shortage = none_at_ > 0 && around_.now - none_at_ < kStrainHeld;
   }
 
   // Asks the next host of a route; each host answers with a note of its own.
@@ -926,9 +902,9 @@
     if (found == held_.end() || found->second.answered) return;
     Attachment& held = found->second;
     const bool crowd = route.fleet.crowd_limit > 0;
-    const bool gives_way = route.topic == Topic::route && crowd && (beyond_share(held) || yields(held));
+    const bool gives_way = route.topic == Topic::route && crowd && beyond_share(held);
     const bool none = route.asked >= route.order->size();
-    if (crowd && none) turned_away_.emplace_back(around_.now, gain(held));
+    if (crowd && none) none_at_ = around_.now;
     if (gives_way || none || around_.now >= held.event.expiry) return give_up(held);
     Note& note = around_.pass_on(route, Part::host, Topic::offer);
     note.host = (*route.order)[note.asked++];
@@ -967,12 +943,9 @@
   std::map<std::string, Attachment> held_;
   std::map<std::string, std::pair<Tenths, bool>>
       lately_;                                       // each host's last set-up of this second: when, good
-  std::map<std::string, std::deque<double>> loads_;  // of the connections of a type, as last told
-  std::vector<std::pair<Tenths, double>>
-      turned_away_;    // in a crowd for want of room lately: when, and its gain
   double window_ = 1;  // set-ups that may be out while they go wrong everywhere
   int out_ = 0;
-  Tenths cut_at_ = 0;
+  Tenths cut_at_ = 0, none_at_ = 0;  // none: in a crowd an attachment found no host
   std::deque<Tenths> times_;  // of the last set-ups that stood
   std::deque<Tenths> moved_;  // when connections were moved, over the last second
 };
