--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -33,19 +33,19 @@
 constexpr Tenths kProbeShared = kSecond;              // and of all nodes together for one host
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 65 * kMs;             // and of all nodes together that may be in doubt
-constexpr int kPoints = 30;         // virtual points for a size of 1: shares true to a few percent
-constexpr int kLooks = 3;           // hosts looked at and passed before one is taken unseen
-constexpr double kFull = 0.8;       // of capacity: messages begin to wait there
-constexpr double kScatter = 12;     // hosts that all nodes ask for one group while the crowd limit is on
-constexpr double kBusy = 0.3;       // of capacity, over the fleet: what groups cost twice is missed from there
-constexpr double kWatch = 0.005;    // of all that service can be worth: what steady probes may cost
-constexpr double kDear = 0.1;       // of all that service can be worth, for crossing zones each time
-constexpr int kEnough = 8;          // good hosts on a route: more are hardly ever asked
+constexpr int kPoints = 30;       // virtual points for a size of 1: shares true to a few percent
+constexpr int kLooks = 3;         // hosts looked at and passed before one is taken unseen
+constexpr double kFull = 0.8;     // of capacity: messages begin to wait there
+constexpr double kScatter = 12;   // hosts that all nodes ask for one group while the crowd limit is on
+constexpr double kBusy = 0.3;     // of capacity, over the fleet: what groups cost twice is missed from there
+constexpr double kWatch = 0.005;  // of all that service can be worth: what steady probes may cost
+constexpr double kDear = 0.1;     // of all that service can be worth, for crossing zones each time
+constexpr int kEnough = 8;        // good hosts on a route: more are hardly ever asked
 constexpr Tenths kQuiet = kSecond;  // without a set-up for this long the probes speak for a host alone
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver = 4;     // the same where the group is paid for: elsewhere it is paid again
-constexpr double kPart = 1;           // hosts' means of its connections that one host takes of a group
+constexpr double kPart = 1;         // hosts' means of its connections that one host takes of a group
 constexpr double kToldOver = 1.5;   // and where others tell what they hold, by when the word has come round
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
@@ -53,7 +53,7 @@
 constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
 constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
 constexpr double kRoomy = 4;                        // times as many where the host itself tells of room
-constexpr double kEase = 0.7;   // of this node's part of what the shares grant: a crowd does no harm below
+constexpr double kEase = 0.7;  // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
 constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
@@ -165,33 +165,29 @@
     if (card_.open + kOverBy < kEase * fleet_.granted * card_.size / around_.rules.nodes) return true;
     const double least = std::min(kInrushLeast, kInrushAll / around_.rules.nodes);
     double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
-    if (card_.roomy > around_.now)
-      rate *= kRoomy;  // what it says itself goes before what others' trouble tells
+    if (card_.roomy > around_.now) rate *= kRoomy;  // its own word goes before others' trouble
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
   // Danger: all nodes push a cold host over. Each keeps to its part of what the host can surely do: what the
-  // shares grant or warm ones bear of this node's connections, filled over the warm-up; half of the multiple
-  // is left for chance. Danger: a fleet mostly new and hardly used has its crowd heaped on the few warm ones.
-  // A budget under one is kept over many windows and by chance: one from each of many nodes is a crowd.
+  // shares grant or warm ones bear for this node, filled over the warm-up; half of the multiple is left for
+  // chance. A budget under one is kept over many windows and by chance: one from each of many is a crowd.
   bool cold_allows() const {
-    const double from = around_.rules.cold_from, span = around_.rules.cold_time;
-    const double window = around_.rules.fall_time;
-    const double capacity = from + (1 - from) * std::clamp(age() / std::max(span, 1.0), 0.0, 1.0);
-    const double multiple = std::max(1.0, around_.rules.fall_multiple / 2);
-    const double bears = std::max(fleet_.bears, fleet_.granted / around_.rules.nodes);
-    const double own = multiple * capacity * bears * card_.size * window / std::max(span, 1.0);
-    const double budget = std::max(own, 1 / around_.rules.nodes);  // one for all nodes at the least
+    const Rules& rules = around_.rules;
+    const double span = std::max(rules.cold_time, 1.0), window = rules.fall_time;
+    const double capacity = rules.cold_from + (1 - rules.cold_from) * std::clamp(age() / span, 0.0, 1.0);
+    const double bears = std::max(fleet_.bears, fleet_.granted / rules.nodes) * card_.size * capacity;
+    const double own = std::max(1.0, rules.fall_multiple / 2) * bears * window / span;
+    const double budget = std::max(own, 1 / rules.nodes);  // one for all nodes at the least
     if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
     const double heaped = card_.elsewhere >= 0 ? kToldOver : kHomeOver;  // that much may seek this one host
     const double expected = fleet_.sought * card_.size * heaped * window / kSoughtSpan;
-    return sent_within(window * around_.rules.nodes, 1) < 1 && around_.chance.share() * expected < budget;
+    return sent_within(window * rules.nodes, 1) < 1 && around_.chance.share() * expected < budget;
   }
 
   double sent_within(double span, double least) const {  // only pieces of at least `least` count
     double sum = 0;
-    for (auto at = sent_.rbegin(); at != sent_.rend() && around_.now - at->first < span; ++at)
-      if (at->second >= least) sum += at->second;
+    for (const auto& [when, work] : sent_) sum += around_.now - when < span && work >= least ? work : 0;
     return sum;
   }
 
@@ -278,10 +274,9 @@
         delay * 3 > around_.rules.shortest_goal ? around_.now : 0;  // the last note tells of the end
   }
 
-  // Danger: value is counted by the second, and connections left on a host that answers too late or not at
-  // all lose it until they end. They are moved a part at a time, so that what is left can be served again.
-  // One that answers probes with errors may well serve what stands there; one with messages slower than any
-  // client's patience does not, whatever its probes say. One that leaves the list cuts off what it holds.
+  // Danger: connections left on a host that answers too late or not at all lose their value until they end.
+  // They are moved a part at a time, so that what is left can be served again. One that answers probes with
+  // errors may well serve what stands there; one with messages slower than any client's patience does not.
   bool dead() const {
     return (!probes_.good && silent_) || (strained() && delay_ > around_.rules.longest_expiry);
   }
@@ -322,13 +317,11 @@
   void falls() {
     std::erase_if(flaps_, [this](Tenths when) { return around_.now - when > kFlapMemory; });
     const Tenths cooldown = kFirstCooldown << std::min<std::size_t>(flaps_.size(), 20);
-    flaps_.push_back(around_.now);
-    step_ = 0;
-    step_since_ = around_.now + std::min(cooldown, kLongestCooldown);  // the climb waits for its end
+    flaps_.push_back(around_.now);  // the climb waits for the end of the cooldown
+    step_ = 0, step_since_ = around_.now + std::min(cooldown, kLongestCooldown);
   }
 
-  // Full only with both signals healthy: the mean of both shares less half of their difference is the
-  // smaller.
+  // Full only with both signals healthy: the mean of both less half of their difference is the smaller.
   double score() const {
     if (!probes_.good && !setups_.good) return 0;
     const double score = 100 * std::min(probes_.share(), setups_.share());
@@ -338,8 +331,8 @@
   bool in_doubt() const { return probes_.in_doubt() || setups_.in_doubt(); }
 
   Tenths next_climb() const {
-    if (step_ >= kTop || in_doubt()) return kNever;
-    return step_since_ + kStep;  // also while cold: what it may be sent then has its own bound
+    return step_ >= kTop || in_doubt() ? kNever
+                                       : step_since_ + kStep;  // also while cold: it has its own bound
   }
 
   void climb() {
@@ -356,9 +349,8 @@
   Tenths probe_interval(Tenths own, Tenths shared) const {
     return std::max(own, static_cast<Tenths>(shared * around_.rules.nodes));
   }
-
-  // Danger: where little comes, probes cost more than the service of what does come. A host that is asked about
-  // before it takes an attachment, and whose messages tell when it falls silent, is watched at a price.
+  // Danger: where little comes, probes cost more than the service of what does come. A host that is asked
+  // about before it takes an attachment, and whose messages tell when it falls silent, is watched at a price.
   Tenths watch() const {
     if (around_.rules.report_load < 0 || fleet_.rate <= 0) return 0;
     return static_cast<Tenths>(around_.rules.price_probe * fleet_.hosts / (kWatch * fleet_.rate) * kSecond);
@@ -367,8 +359,8 @@
   void probe() {
     if (!may_be_probed() || around_.now < next_probe_) return;
     probe_out_ = true;
-    next_probe_ = around_.now + (in_doubt() ? probe_interval(kProbeHurry, kHurryShared)
-                                            : std::max(watch(), probe_interval(kProbeEvery, kProbeShared)));
+    const Tenths steady = std::max(watch(), probe_interval(kProbeEvery, kProbeShared));
+    next_probe_ = around_.now + (in_doubt() ? probe_interval(kProbeHurry, kHurryShared) : steady);
     sends(kProbeWork);
     around_.act(ActionKind::probe, "", id_);
   }
@@ -465,9 +457,9 @@
     ask();
   }
 
-  // Danger: a weight that sinks as a host fills, late and alike at all nodes, moves the points of its groups and
-  // sends all nodes to whoever was empty a second ago. A host's size is the largest seen of its kind; what the
-  // weight lacks of it tells what the host holds, of all nodes.
+  // Danger: a weight that sinks as a host fills, late and alike at all nodes, moves the points of its groups
+  // and sends all nodes to whoever was empty a second ago. A host's size is the largest seen of its kind;
+  // what the weight lacks of it tells what the host holds, of all nodes.
   void weigh(Note& note) {
     double& largest = largest_[note.listing.kind];
     largest = std::max(largest, note.listing.size);
@@ -560,13 +552,14 @@
     // Danger: hosts that are hardly used are taken for weak, and the successors of a whole fleet stay empty.
     if (size > 0) fleet.bears = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
     if (!came_.empty())  // the first entry is the start
-      fleet.rate = static_cast<double>(came_.size() * kSecond) / static_cast<double>(around_.now - came_.front() + kSecond);
+      fleet.rate = static_cast<double>(came_.size() * kSecond) /
+                   static_cast<double>(around_.now - came_.front() + kSecond);
     fleet.hosts = hosts;
     fleet.alone = fleet.held < 0 && fleet.each > 0 && fleet.each < kOverBy;
     std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
-    // Danger: when most hosts degrade at once the trouble is behind all of them, and moving work only churns
-    // it; when the list is silent this node's view may be the only one that is wrong.
+    // Danger: when most hosts degrade at once the trouble is behind all of them; when the list is silent this
+    // node's view may be the only one that is wrong. Moving work then only churns it.
     fleet.frozen = bad * 2 > hosts || silent();
     if (fleet.frozen != frozen_) {
       around_.log(std::string("weights ") + (fleet.frozen ? "frozen" : "free") + ", degraded " +
@@ -618,7 +611,8 @@
   // The client key. Where connections of a group share work the group stands in for it: each host that holds
   // any of a group pays for it, and client keys would spread it over all hosts. Without either, the id.
   // Danger: where a node holds next to nothing and hears of no other's, all nodes fill one host with a group
-  // that is larger than any host. Its members here tell how large it is: so many parts have keys of their own.
+  // that is larger than any host. Its members here tell how large it is: so many parts have keys of their
+  // own.
   static std::uint64_t key_of(const Event& event, int parts) {
     if (event.group)
       return hash(static_cast<std::uint64_t>(*event.group) +
@@ -640,9 +634,9 @@
       homes.erase(id);
       const bool fits = seek.host.empty() || drops_repeats(seek, card);
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
-      const bool over = std::max(card.shedding, card.late) > around_.now && !seek.event.mid_flow;
+      const bool over = std::max(card.shedding, card.late) > around_.now;
       // Danger: where hosts are replaced, those that left stand first in a route and crowd out who is there.
-      if (!fits || over || (!card.healthy && !seek.event.mid_flow)) return true;
+      if (!fits || ((over || !card.healthy) && !seek.event.mid_flow)) return true;
       ranked.emplace_back(rank(seek, id, card), &id);
       if (ranked.back().first <= 1) ++good;
       return good < kEnough;
@@ -659,8 +653,7 @@
     route.homes.clear(), route.hosts.clear();
     auto order = std::make_shared<std::vector<std::string>>();
     // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
-    // Hosts that tell of room are asked all the same: a client turned away stays out for longer than they are
-    // paid.
+    // Hosts that tell of room are asked all the same: a client turned away stays out for longer.
     const bool crowd = seek.fleet.crowd_limit > 0;
     const auto asks = std::max<std::size_t>(1, static_cast<std::size_t>(kScatter / around_.rules.nodes));
     for (const auto& [rank, id] : ranked)
@@ -681,9 +674,9 @@
     // connections weigh. Where crossing is cheap its order on the ring is the same for all while room counts;
     // where it is dear only in a crowd, while some attachment finds no host.
     const bool crowd = seek.fleet.crowd_limit > 0;
-    const bool gathers = seek.event.group && (around_.rules.price_crossing <= kDear
-                                                  ? crowd || seek.fleet.load > kBusy
-                                                  : crowd && seek.shortage);
+    const bool gathers =
+        seek.event.group &&
+        (around_.rules.price_crossing <= kDear ? crowd || seek.fleet.load > kBusy : crowd && seek.shortage);
     const bool near = card.zone == around_.rules.zone || gathers;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
@@ -790,9 +783,8 @@
   }
 
   // Danger: what stands behind all hosts (a store that each set-up asks) is slow or full. Each host then
-  // looks sick, every try is made again at another one, and all nodes' repeats keep it full. Set-ups that go
-  // wrong at most hosts in the same second are not the hosts' fault: so many may be out at once as still come
-  // through.
+  // looks sick, every try is made again at another one, and all nodes' repeats keep it full. When set-ups go
+  // wrong at most hosts in one second no host is blamed, and as many are out as still come through.
   void learn(const std::string& host, bool good) {
     std::erase_if(lately_, [&](const auto& one) { return around_.now - one.second.first > kSecond; });
     lately_[host] = {around_.now, good};
@@ -804,7 +796,7 @@
   }
   bool behind_all() const {
     const auto bad =
-        std::count_if(lately_.begin(), lately_.end(), [](const auto& one) { return !one.second.second; });
+        std::count_if(lately_.begin(), lately_.end(), [](auto& one) { return !one.second.second; });
     return bad >= kBadRun && bad * 2 > static_cast<std::ptrdiff_t>(lately_.size());
   }
   bool limited() const { return cut_at_ > 0 && around_.now - cut_at_ < kTroubleHeld; }
@@ -836,8 +828,7 @@
       const bool whole = held.event.group && !alone;
       const auto group = hash(whole ? static_cast<std::uint64_t>(*held.event.group) : hash(id));
       if (static_cast<double>(hash(group ^ hash(host)) >> 32) >= part * 4294967296.0) continue;
-      // Danger: moved work chases itself from host to host when few have room.
-      if (static_cast<int>(moved_.size()) >= spare) return;
+      if (static_cast<int>(moved_.size()) >= spare) return;  // danger: moved work chases itself without room
       move(held);
     }
   }
@@ -942,12 +933,12 @@
   Surroundings& around_;
   std::map<std::string, Attachment> held_;
   std::map<std::string, std::pair<Tenths, bool>>
-      lately_;                                       // each host's last set-up of this second: when, good
+      lately_;         // each host's last set-up of this second: when, good
   double window_ = 1;  // set-ups that may be out while they go wrong everywhere
   int out_ = 0;
   Tenths cut_at_ = 0, none_at_ = 0;  // none: in a crowd an attachment found no host
-  std::deque<Tenths> times_;  // of the last set-ups that stood
-  std::deque<Tenths> moved_;  // when connections were moved, over the last second
+  std::deque<Tenths> times_;         // of the last set-ups that stood
+  std::deque<Tenths> moved_;         // when connections were moved, over the last second
 };
 
 }  // namespace
--- a/src/notes.h
+++ b/src/notes.h
@@ -190,7 +190,8 @@
     for (std::uint32_t i = 0; i < places_.size(); ++i) {
       Place& place = places_[i];
       const auto found = cards.find(place.id);
-      place.card = found != cards.end() && points_of(found->second) == place.points ? &found->second : nullptr;
+      place.card =
+          found != cards.end() && points_of(found->second) == place.points ? &found->second : nullptr;
       if (place.card) laid.insert(place.id);
       else free.push_back(i);
     }
