A watching mode: a second module with another shape's settings, compared and never carried out

A set-up of a connection from before no longer counts as a try that ended (found on reading: out_ fell below 0, which loosened the limit on set-ups behind all hosts).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,7 +48,7 @@
 constexpr double kPart = 1;         // hosts' means of its connections that one host takes of a group
 constexpr double kToldOver = 1.5;   // and where others tell what they hold, by when the word has come round
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
-constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one
+constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one, and arrivals their rate
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
 constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
@@ -169,9 +169,8 @@
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
-  // Danger: all nodes push a cold host over. Each keeps to its part of what the host can surely do: what the
-  // shares grant or warm ones bear for this node, filled over the warm-up; half of the multiple is left for
-  // chance. A budget under one is kept over many windows and by chance: one from each of many is a crowd.
+  // Danger: all nodes push a cold host over. Each keeps to half of its part of what the host surely can: what
+  // shares grant or warm ones bear, over the warm-up. Under one by chance: one from each of many is a crowd.
   bool cold_allows() const {
     const Rules& rules = around_.rules;
     const double span = std::max(rules.cold_time, 1.0), window = rules.fall_time;
@@ -223,9 +222,8 @@
     probe_out_ = false, probed_at_ = around_.now;
     const double at = around_.rules.report_load;
     const bool told = at >= 0 && at < static_cast<double>(event.report.size());
-    load_ = told ? event.report[static_cast<std::size_t>(at)] : 0;
+    load_ = card_.load = told ? event.report[static_cast<std::size_t>(at)] : -1;
     card_.roomy = told && load_ < kFull ? around_.now + kProbeEvery : 0;
-    card_.load = told ? load_ : -1;
     for (Note& note : std::exchange(waiting_, {})) {
       if (event.outcome != Outcome::honoured) ++note.looks;
       else --note.asked;  // asked once more
@@ -248,8 +246,7 @@
         looked(event);
         silent_ = event.outcome == Outcome::no_answer || event.outcome == Outcome::no_connection;
         result(probes_, event.outcome == Outcome::honoured);
-        // Danger: a host without set-ups is never heard well of again, gets none, and stays out for ever.
-        // Where no set-up has ended of late, good probes count for that signal as well.
+        // Danger: a host without set-ups is never heard well of again. Then good probes count for them too.
         if (event.outcome == Outcome::honoured && around_.now - setup_at_ > kQuiet && setups_.share() < 1)
           result(setups_, true);
         break;
@@ -274,21 +271,19 @@
         delay * 3 > around_.rules.shortest_goal ? around_.now : 0;  // the last note tells of the end
   }
 
-  // Danger: connections left on a host that answers too late or not at all lose their value until they end.
-  // They are moved a part at a time, so that what is left can be served again. One that answers probes with
-  // errors may well serve what stands there; one with messages slower than any client's patience does not.
+  // Danger: what is left on a host that is late or silent is lost until it ends; a part at a time is moved,
+  // so that the rest is served. With errors to probes it may serve on; slower than all patience it does not.
   bool dead() const {
     return (!probes_.good && silent_) || (strained() && delay_ > around_.rules.longest_expiry);
   }
   bool late() const { return strained() && delay_ * 2 > around_.rules.shortest_goal; }
-  bool leaving() const { return !in_service(); }
-  bool relieves() const { return card_.open > 0 && (dead() || late() || leaving()); }
+  bool relieves() const { return card_.open > 0 && (dead() || late() || !in_service()); }
 
   void relieve() {
     if (!relieves() || around_.now < next_relief_) return;
     const bool begins = around_.now - next_relief_ > kStrainHeld;
     if (begins) relief_since_ = around_.now;
-    if (fleet_.frozen && !leaving()) return;
+    if (fleet_.frozen && !!in_service()) return;
     next_relief_ = around_.now + (dead() ? kPulse : kRelief);
     Note& note = around_.write(Part::desk, Topic::evict, id_);
     const Tenths steps = (around_.now - relief_since_) / kRelief + 1;
@@ -296,9 +291,9 @@
     note.fleet = fleet_;
     if (!begins) return;
     around_.log("host " + id_ + " gives up connections, open " + std::to_string(card_.open) +
-                (dead()      ? ", probes unanswered"
-                 : leaving() ? ", leaving the list"
-                             : ", message ms " + figure(delay_ / kMs)));
+                (dead()          ? ", probes unanswered"
+                 : !in_service() ? ", leaving the list"
+                                 : ", message ms " + figure(delay_ / kMs)));
   }
 
   void result(Signal& signal, bool good) {
@@ -349,17 +344,10 @@
   Tenths probe_interval(Tenths own, Tenths shared) const {
     return std::max(own, static_cast<Tenths>(shared * around_.rules.nodes));
   }
-  // Danger: where little comes, probes cost more than the service of what does come. A host that is asked
-  // about before it takes an attachment, and whose messages tell when it falls silent, is watched at a price.
-  Tenths watch() const {
-    if (around_.rules.report_load < 0 || fleet_.rate <= 0) return 0;
-    return static_cast<Tenths>(around_.rules.price_probe * fleet_.hosts / (kWatch * fleet_.rate) * kSecond);
-  }
-
   void probe() {
     if (!may_be_probed() || around_.now < next_probe_) return;
     probe_out_ = true;
-    const Tenths steady = std::max(watch(), probe_interval(kProbeEvery, kProbeShared));
+    const Tenths steady = std::max(fleet_.watch, probe_interval(kProbeEvery, kProbeShared));
     next_probe_ = around_.now + (in_doubt() ? probe_interval(kProbeHurry, kHurryShared) : steady);
     sends(kProbeWork);
     around_.act(ActionKind::probe, "", id_);
@@ -401,7 +389,7 @@
   int cap_ = 0;             // what it held when it was last late
   double inherited_ = 100;  // a new host starts at the others' mean
   Tenths probed_at_ = -kNever;
-  double load_ = 0;            // over capacity, as last reported
+  double load_ = -1;           // over capacity, as last reported
   std::vector<Note> waiting_;  // offers that wait for a probe
   std::deque<Tenths> flaps_;
   std::deque<std::pair<Tenths, double>> sent_;
@@ -457,9 +445,8 @@
     ask();
   }
 
-  // Danger: a weight that sinks as a host fills, late and alike at all nodes, moves the points of its groups
-  // and sends all nodes to whoever was empty a second ago. A host's size is the largest seen of its kind;
-  // what the weight lacks of it tells what the host holds, of all nodes.
+  // Danger: a weight that sinks as a host fills sends all nodes to whoever was empty a second ago. A host's
+  // size is the largest seen of its kind; what the weight lacks of it tells what all nodes hold there.
   void weigh(Note& note) {
     double& largest = largest_[note.listing.kind];
     largest = std::max(largest, note.listing.size);
@@ -523,7 +510,6 @@
     Fleet fleet;
     double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
     double near_open = 0, near_size = 0, near_held = 0, near_told = 0, told = 0, told_size = 0;
-    const std::string& zone = around_.rules.zone;
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
@@ -532,15 +518,14 @@
       if (card.shedding > around_.now || (card.open && card.late > around_.now)) trouble_at_ = around_.now;
       all_open += card.open, all_size += card.size;
       if (card.weight <= 0.5) continue;
-      if (card.zone == zone) near_open += card.open, near_size += card.size;
-      if (card.zone == zone && card.elsewhere >= 0)
+      if (card.zone == around_.rules.zone) near_open += card.open, near_size += card.size;
+      if (card.zone == around_.rules.zone && card.elsewhere >= 0)
         near_held += card.open + card.elsewhere, near_told += card.size;
       if (card.strained <= around_.now) roomy += card.size;
       if (card.cold <= around_.now) open += card.open, size += card.size;
       if (card.cold <= around_.now && card.load >= 0) told += card.load * card.size, told_size += card.size;
     }
-    const bool trouble = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld;
-    fleet.crowd_limit = trouble ? kInrush : 0;
+    fleet.crowd_limit = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld ? kInrush : 0;
     // Danger: with no near host at weight a mean of nothing shuts the far ones to a crowd they have room for.
     if (all_size > 0) fleet.mean = near_size > 0 ? near_open / near_size : all_open / all_size;
     if (near_told > 0) fleet.held = near_held / near_told;
@@ -551,15 +536,14 @@
     if (told_size > 0) fleet.load = told / told_size;
     // Danger: hosts that are hardly used are taken for weak, and the successors of a whole fleet stay empty.
     if (size > 0) fleet.bears = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
-    if (!came_.empty())  // the first entry is the start
-      fleet.rate = static_cast<double>(came_.size() * kSecond) /
-                   static_cast<double>(around_.now - came_.front() + kSecond);
-    fleet.hosts = hosts;
+    // Danger: where little comes, probes cost more than its service. Looks and messages watch there too.
+    if (around_.rules.report_load >= 0 && !came_.empty())
+      fleet.watch = static_cast<Tenths>(around_.rules.price_probe * hosts / kWatch / came_.size() *
+                                        (around_.now - came_.front() + kSecond));
     fleet.alone = fleet.held < 0 && fleet.each > 0 && fleet.each < kOverBy;
     std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
-    // Danger: when most hosts degrade at once the trouble is behind all of them; when the list is silent this
-    // node's view may be the only one that is wrong. Moving work then only churns it.
+    // Danger: trouble behind most hosts, or a node that alone sees it: moving work only churns it.
     fleet.frozen = bad * 2 > hosts || silent();
     if (fleet.frozen != frozen_) {
       around_.log(std::string("weights ") + (fleet.frozen ? "frozen" : "free") + ", degraded " +
@@ -576,7 +560,7 @@
   std::map<std::string, double> largest_;  // size of each kind of machine, where weights move
   std::set<std::pair<Tenths, std::string>> due_;
   std::deque<Tenths> sought_;  // when a host was sought lately
-  std::deque<Tenths> came_;    // when the last attachments came
+  std::deque<Tenths> came_;    // the start, and when the last attachments came
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0, stopped_at_ = 0;
@@ -604,15 +588,14 @@
   }
 
  private:
-  int points_of(const Card& card) const {
+  static int points_of(const Card& card) {
     return std::max(1, static_cast<int>(std::lround(kPoints * card.size)));
   }
 
   // The client key. Where connections of a group share work the group stands in for it: each host that holds
   // any of a group pays for it, and client keys would spread it over all hosts. Without either, the id.
-  // Danger: where a node holds next to nothing and hears of no other's, all nodes fill one host with a group
-  // that is larger than any host. Its members here tell how large it is: so many parts have keys of their
-  // own.
+  // Danger: nodes that hold little and hear of no other's fill one host with a group larger than any host.
+  // Its members here tell how large it is: so many parts have keys of their own.
   static std::uint64_t key_of(const Event& event, int parts) {
     if (event.group)
       return hash(static_cast<std::uint64_t>(*event.group) +
@@ -622,16 +605,14 @@
   }
 
   void answer(const Note& seek) {
-    if (std::exchange(stale_, false))
-      circle_.lay(cards_, [this](const Card& card) { return points_of(card); });
+    if (std::exchange(stale_, false)) circle_.lay(cards_, points_of);
     std::vector<std::pair<int, const std::string*>> ranked;  // rank, then the order of the ring
     std::size_t good = 0;
-    std::set<std::string> homes = seek.homes;
     const auto taken = [&](const Card& card) {  // so many of its points are its own
       return static_cast<int>(std::lround((seek.event.mid_flow ? 1 : card.weight) * points_of(card)));
     };
-    const auto meet = [&](const std::string& id, const Card& card) {
-      homes.erase(id);
+    const int parts = seek.fleet.alone ? 1 + static_cast<int>(seek.members / (kPart * seek.fleet.each)) : 1;
+    circle_.walk(key_of(seek.event, parts), taken, [&](const std::string& id, const Card& card) {
       const bool fits = seek.host.empty() || drops_repeats(seek, card);
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
       const bool over = std::max(card.shedding, card.late) > around_.now;
@@ -640,20 +621,14 @@
       ranked.emplace_back(rank(seek, id, card), &id);
       if (ranked.back().first <= 1) ++good;
       return good < kEnough;
-    };
-    const int parts = seek.fleet.alone ? 1 + static_cast<int>(seek.members / (kPart * seek.fleet.each)) : 1;
-    circle_.walk(key_of(seek.event, parts), taken, meet);
+    });
     if (parts > 1 && !ranked.empty() && ranked.front().first <= 3) ranked.front().first = 0;
-    for (const std::string& id : std::set<std::string>(homes))  // beyond the end of the walk
-      if (const auto home = cards_.find(id); home != cards_.end() && taken(home->second) > 0)
-        meet(home->first, home->second);
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     Note& route = around_.pass_on(seek, Part::desk, Topic::route);
     route.homes.clear(), route.hosts.clear();
     auto order = std::make_shared<std::vector<std::string>>();
-    // Danger: in a crowd a group is scattered over every host that still takes one, and each pays for it.
-    // Hosts that tell of room are asked all the same: a client turned away stays out for longer.
+    // Danger: a crowd scatters a group over every host that takes one, and each pays. Told room goes before.
     const bool crowd = seek.fleet.crowd_limit > 0;
     const auto asks = std::max<std::size_t>(1, static_cast<std::size_t>(kScatter / around_.rules.nodes));
     for (const auto& [rank, id] : ranked)
@@ -670,9 +645,8 @@
 
   // Lower is asked earlier; within one rank the ring decides.
   int rank(const Note& seek, const std::string& id, const Card& card) const {
-    // Danger: each zone's nodes gather a group on hosts of their own, and each pays for it: more than the
-    // connections weigh. Where crossing is cheap its order on the ring is the same for all while room counts;
-    // where it is dear only in a crowd, while some attachment finds no host.
+    // Danger: each zone's nodes gather a group on hosts of their own, and each pays more than its connections
+    // weigh. While room counts the ring is the same for all; where crossing is dear only when it is short.
     const bool crowd = seek.fleet.crowd_limit > 0;
     const bool gathers =
         seek.event.group &&
@@ -772,9 +746,8 @@
   }
 
   void stands(Attachment& held, const Event& event) {
-    held.standing = true;
+    if (!std::exchange(held.standing, true)) --out_;  // a connection from before was no try of this node
     keep_last(times_, event.took, kTimes);
-    --out_;
     Event told = event;  // with the time beyond which a set-up is a bad one
     told.expiry = static_cast<Tenths>(of_type(held, "latency_goal", 0) / 2);
     learn(event.host, event.took <= told.expiry);
@@ -782,9 +755,8 @@
     tell_host(told, event.host);
   }
 
-  // Danger: what stands behind all hosts (a store that each set-up asks) is slow or full. Each host then
-  // looks sick, every try is made again at another one, and all nodes' repeats keep it full. When set-ups go
-  // wrong at most hosts in one second no host is blamed, and as many are out as still come through.
+  // Danger: what stands behind all hosts (a store) is slow or full, and all nodes' repeats keep it full. When
+  // set-ups go wrong at most hosts in a second no host is blamed; as many are out as still come through.
   void learn(const std::string& host, bool good) {
     std::erase_if(lately_, [&](const auto& one) { return around_.now - one.second.first > kSecond; });
     lately_[host] = {around_.now, good};
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -1,8 +1,10 @@
 #include "node/configuration.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include "base/socket.h"
@@ -45,8 +47,16 @@
 }
 
 // Danger: a flag that is none would let this node send to hosts that are gone, or keep it from those that are
-// not.
-void flags_hold(const json& from, const std::string& path) {
+// not; a meaning of weights that is none would be taken for another.
+void settings_hold(const json& from, const std::string& path) {
+  const json weights = from.value("/settings/weights"_json_pointer, json("nominal"));
+  if (weights != "silent" && weights != "nominal" && weights != "rough" && weights != "live")
+    throw std::runtime_error(place_of(path, "\"weights\"") + "'weights' is " + weights.dump() +
+                             "; expected silent, nominal, rough or live");
+  const json price = from.value("/settings/charges/probe"_json_pointer, json(0));
+  if (!price.is_number() || price.get<double>() < 0)
+    throw std::runtime_error(place_of(path, "\"probe\"") + "'probe' is " + price.dump() +
+                             "; expected a number of points, not below 0");
   const json flag = from.value("/settings/guarantees/drainBindsAlone"_json_pointer, json(false));
   if (!flag.is_boolean())
     throw std::runtime_error(place_of(path, "\"drainBindsAlone\"") + "'drainBindsAlone' is " + flag.dump() +
@@ -71,6 +81,37 @@
   if (log) to = {log->word("format") == "json", log->word("level"), log->word("decisions")};
 }
 
+// The settings of another shape, to be watched: of a file in the language or of one like the platform's.
+json shadow_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ":0:0: the settings to watch cannot be read; expected a file");
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  const std::size_t first = text.find_first_not_of(" \t\r\n");
+  json from;
+  if (first == std::string::npos || text[first] != '{') {
+    from = sidecar::render(good_one(path, sidecar::Use::sidecar));
+  } else {
+    try {
+      from = json::parse(text);
+    } catch (const json::parse_error& error) {
+      const std::string before = text.substr(0, error.byte > 0 ? error.byte - 1 : 0);
+      const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+      throw std::runtime_error(path + ":" + std::to_string(line) + ":" +
+                               std::to_string(before.size() - (before.rfind('\n') + 1) + 1) +
+                               ": this is no JSON; expected an object with 'settings'");
+    }
+    settings_hold(from, path);
+  }
+  if (!from.contains("settings") || !from["settings"].is_object())
+    throw std::runtime_error(path + ":1:1: there are no 'settings'; expected an object of that name");
+  try {
+    Choice(settings_of(from["settings"]), 0, 0);
+  } catch (const std::exception& error) {
+    throw std::runtime_error(path + ":1:1: the settings to watch cannot be used: " + error.what());
+  }
+  return from["settings"];
+}
+
 Configuration checked(const json& from, Source source) {
   Configuration to;
   to.name = told(from, source, "PROXY_NAME", "name");
@@ -114,15 +155,22 @@
   try {
     LogSettings log;
     json from;
-    if (files.language.empty()) from = platform_file(files.json), flags_hold(from, files.json);
+    if (files.language.empty()) from = platform_file(files.json), settings_hold(from, files.json);
     else {
       const sidecar::Document document = good_one(files.language, sidecar::Use::sidecar);
       from = sidecar::render(document);
       take_log(document, log);
       source = Source::file_only;  // the environment is the platform's
     }
-    if (!files.operators.empty()) take_log(good_one(files.operators, sidecar::Use::operators), log);
+    std::string shadow = files.shadow;
+    if (!files.operators.empty()) {
+      const sidecar::Document document = good_one(files.operators, sidecar::Use::operators);
+      take_log(document, log);
+      const sidecar::Block* block = document.find("shadow");
+      if (block && shadow.empty()) shadow = block->word("settings");
+    }
     Read read{checked(from, source), ""};
+    if (!shadow.empty()) read.taken->shadow = shadow_settings(shadow);
     read.taken->log = log;
     return read;
   } catch (const std::exception& error) { return {std::nullopt, error.what()}; }
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -17,13 +17,16 @@
   int descriptors = 1024;
   nlohmann::json known, env;  // the list as last had; the settings
   LogSettings log;
-  PeerSettings peers;  // none where the platform does not allow words between nodes
+  std::optional<nlohmann::json> shadow;  // the settings that are only watched; none: off
+  PeerSettings peers;                    // none where the platform does not allow words between nodes
 };
 
 // Where a configuration is read from: the platform's JSON or a file in the operators' language, and the
 // operators' own file beside it, if there is one.
 struct Files {
   std::string json, language, operators;
+  std::string
+      shadow{};  // whose settings are to be watched: either form; empty: what the operators' file says
 };
 
 struct Read {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -49,6 +49,7 @@
     Listing listing;
     listing.host = entry.at("instanceId").get<std::string>();
     listing.zone = field<std::string>(entry, "zone", "");
+    listing.kind = field<std::string>(entry, "machineType", "");
     listing.cell = field<std::int64_t>(entry, "cell", 0);
     listing.state = state_of(entry.at("lifecycle").get<std::string>());
     listing.size = field<double>(entry, "weight", 1);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -43,6 +43,8 @@
   app.add_option("--config", out.files.language,
                  "a configuration in the operators' language, in place of PROXY_CONFIG");
   app.add_option("--operator", out.files.operators, "the operators' own settings, beside the configuration");
+  app.add_option("--shadow", out.files.shadow,
+                 "settings of another shape that are only watched: how they would have decided is counted");
   app.add_flag("--check", only_check, "only checks; exit 0 good, 2 faulty");
   app.set_version_flag("--version", std::string("dapplewharf ") + kVersion);
   app.footer("Example: dapplewharf --config host-floor.dw --check");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -137,6 +137,8 @@
                   meters_[host].probed(loop_.now(), probed.answer_after);
               }),
       peers_(loop, counters_, configuration_.peers, configuration_.seed) {
+  if (configuration_.shadow)
+    shadow_ = std::make_unique<Shadow>(settings_of(*configuration_.shadow), configuration_.seed, loop.now());
   take_settings();
 }
 
@@ -291,6 +293,7 @@
   const Tenths since = loop_.now() - looked_at_;
   looked_at_ = loop_.now();
   loop_.at(look_, looked_at_ + kLookEvery, [this] { look(); });
+  if (shadow_) watch_shadow({}, {});  // its alarm may be due
   exchange();
   std::map<std::string, std::pair<std::string, std::vector<Tenths>>> hosts;  // a connection there; the ages
   if (loop_.late() >= kHeldUp) return;  // danger: after a pause every line seems unanswered
@@ -336,10 +339,18 @@
 void Node::settle() {
   while (!events_.empty()) {
     const std::vector<Event> batch = std::exchange(events_, {});
-    for (const Action& action : choice_.take(loop_.now(), batch)) act(action);
+    const std::vector<Action> actions = choice_.take(loop_.now(), batch);
+    if (shadow_) watch_shadow(batch, actions);
+    for (const Action& action : actions) act(action);
   }
 }
 
+void Node::watch_shadow(const std::vector<Event>& events, const std::vector<Action>& actions) {
+  if (shadow_->off()) return;
+  shadow_->follow(loop_.now(), events, actions);
+  if (shadow_->off()) spdlog::warn("the watched settings are let go, the node goes on: {}", shadow_->why());
+}
+
 void Node::answer(const std::string& id, const std::string& line) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
@@ -404,6 +415,8 @@
   const std::string fault = !read.taken ? read.fault
                             : read.taken->listen != configuration_.listen
                                 ? "'listen' can be changed by a restart only: " + read.taken->listen
+                            : read.taken->shadow && !shadow_
+                                ? "settings to watch can be named by a restart only"
                                 : "";
   if (!fault.empty()) {
     ++counters_.reloads_refused;
@@ -413,6 +426,8 @@
   configuration_.descriptors = descriptor_limit(configuration_.descriptors);
   settings_ = settings_of(configuration_.env);
   choice_.adopt(settings_);
+  if (!configuration_.shadow) shadow_.reset();
+  if (shadow_) shadow_->adopt(settings_of(*configuration_.shadow));
   set_log(configuration_.log);
   take_settings();
   discovery_.move_to(configuration_.discovery);
@@ -431,6 +446,9 @@
   return stopped_at_ + std::min(expiry, kLongestWait) + kBeforeKill;
 }
 
-void Node::report() const { spdlog::info("{}", counters_.told()); }
+void Node::report() const {
+  spdlog::info("{}", counters_.told());
+  if (shadow_) spdlog::info("{}{}", shadow_->counts().told(), shadow_->off() ? " | let go" : "");
+}
 
 }  // namespace dapplewharf
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include "node/peers.h"
 #include "node/probes.h"
 #include "node/relay.h"
+#include "node/shadow.h"
 
 namespace dapplewharf {
 
@@ -72,6 +73,7 @@
   void act(const Action& action);
   void answer(const std::string& id, const std::string& line);
   void subscribe();
+  void watch_shadow(const std::vector<Event>& events, const std::vector<Action>& actions);
   void take_settings();                                // what the configuration in force says, for all parts
   Tenths ends_by() const;                              // once it is stopping, at the latest
   std::string address(const std::string& host) const;  // as discovery last told it; empty where it did not
@@ -88,6 +90,7 @@
   Tenths stopped_at_ = 0, shortest_goal_ = 0, looked_at_ = 0;
   int losses_ = 0;
   Choice choice_;
+  std::unique_ptr<Shadow> shadow_;  // only while the mode is on
   Relay relay_;
   Discovery discovery_;
   Probes probes_;
--- a/src/notes.h
+++ b/src/notes.h
@@ -131,8 +131,7 @@
   bool alone = false;      // hosts hold next to nothing of this node, and of others nothing is told
   double held = -1;        // the same of all nodes, as far as told; below 0: unknown
   double load = -1;        // of hosts over what they can do, as reported of late; below 0: unknown
-  double rate = 0;         // attachments a second at this node
-  int hosts = 0;           // that are up
+  Tenths watch = 0;        // least time between steady probes of a host, for their price
   int spare = 0;           // moved connections that hosts with room may take in a second
   double sought = 0;       // how often a host was sought lately, for a size of 1
   double bears = 0;        // open connections that a warm host of size 1 bears for this node
--- a/src/sidecar/schema.cpp
+++ b/src/sidecar/schema.cpp
@@ -23,6 +23,7 @@
       {"limits", false, false, false, false, "", "what the process and its tries may use"},
       {"rules", false, false, true, false, "/settings/guarantees", "the figures of the four rules"},
       {"prices", false, false, false, false, "/settings/charges", "what the operators take off for"},
+      {"shadow", false, false, false, true, "", "settings of another shape that are only watched"},
       {"log", false, false, false, true, "", "the log on standard output"}};
   return table;
 }
@@ -38,6 +39,9 @@
        "where the list of hosts is asked for"},
       {"pool", "mode", T::word, 0, 0, "on_request pushed", "on_request", "0.2", false, "/settings/discovery",
        "whether the list answers when asked, or changes come unasked"},
+      {"pool", "weights", T::word, 0, 0, "silent nominal rough live", "nominal", "0.3", true,
+       "/settings/weights",
+       "what the list's weight says; live: the size over 1 and what is held for each core, so it moves"},
       {"pool", "ask_within", T::duration, 500, 10 * kMinute, "", "10s", "0.2", true,
        "/settings/guarantees/askWithinMs", "a node that has not asked for so long counts as told"},
       {"route", "traffic", T::list, 0, 0, "", "", "0.2", true, "", "names of traffic types"},
@@ -99,6 +103,9 @@
       {"prices", "move", T::number, 0, 1000, "", "0", "0.2", true, "/moves", "of moving each client once"},
       {"prices", "crossing", T::number, 0, 1000, "", "0", "0.2", true, "/crossZone",
        "of each attachment crossing zones once"},
+      {"shadow", "settings", T::text, 0, 0, "", "\"\"", "0.3", true, "",
+       "a configuration in this language or the platform's form; on by a restart, off or changed by a "
+       "reload"},
       {"log", "format", T::word, 0, 0, "text json", "text", "0.2", true, "",
        "a line of text, or one JSON object a line"},
       {"log", "level", T::word, 0, 0, "debug info warning error off", "info", "0.2", true, "",
--- a/src/words.h
+++ b/src/words.h
@@ -18,11 +18,12 @@
 enum class HostState { healthy, draining, gone };
 
 struct Listing {
-  std::string host, zone, kind;  // the kind of its machine
+  std::string host, zone;
   std::int64_t cell = 0;
   HostState state = HostState::healthy;
   double size = 1;     // as the list says it: what the setting `weights` tells
   Tenths started = 0;  // 0: long ago
+  std::string kind{};  // of machine; sizes of one kind are alike
 };
 
 // How a setup try or a probe ended.
