Parts of a group go by chance; bears of the last warm hosts remembered; tests of the move

Parts drawn by the attachment's id would be alike at all real nodes, whose ids are numbers of slots. The parts of a node alone in its fleet are floored at two connections of all nodes: a story of a single node with two connections showed it would part a group of two.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -45,7 +45,6 @@
 constexpr int kOverBy = 2;          // design: connections over the mean before a host is passed
 constexpr double kWellOver = 1.25;  // design: "well over" the mean
 constexpr double kHomeOver = 4;     // the same where the group is paid for: elsewhere it is paid again
-constexpr double kPart = 1;         // hosts' means of its connections that one host takes of a group
 constexpr double kToldOver = 1.5;   // and where others tell what they hold, by when the word has come round
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one, and arrivals their rate
@@ -532,15 +531,18 @@
     if (all_size > 0) fleet.granted = around_.rules.granted / all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
     fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
-    if (hosts > 0) fleet.score = scores / hosts, fleet.each = all_open / hosts;
+    if (hosts > 0) fleet.score = scores / hosts;
+    if (hosts > 0) fleet.each = std::max(all_open / hosts, kOverBy / around_.rules.nodes);
     if (told_size > 0) fleet.load = told / told_size;
-    // Danger: hosts that are hardly used are taken for weak, and the successors of a whole fleet stay empty.
-    if (size > 0) fleet.bears = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
+    // Danger: hosts hardly used are taken for weak; with none warm the successors of a whole fleet stay
+    // empty.
+    if (size > 0) bears_ = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
     // Danger: where little comes, probes cost more than its service. Looks and messages watch there too.
     if (around_.rules.report_load >= 0 && !came_.empty())
       fleet.watch = static_cast<Tenths>(around_.rules.price_probe * hosts / kWatch / came_.size() *
                                         (around_.now - came_.front() + kSecond));
-    fleet.alone = fleet.held < 0 && fleet.each > 0 && fleet.each < kOverBy;
+    fleet.bears = bears_;
+    fleet.alone = fleet.held < 0 && fleet.each < kOverBy;
     std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
     // Danger: trouble behind most hosts, or a node that alone sees it: moving work only churns it.
@@ -563,6 +565,7 @@
   std::deque<Tenths> came_;    // the start, and when the last attachments came
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
+  double bears_ = 0;  // of the last hosts that were warm
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0, stopped_at_ = 0;
 };
 
@@ -596,10 +599,8 @@
   // any of a group pays for it, and client keys would spread it over all hosts. Without either, the id.
   // Danger: nodes that hold little and hear of no other's fill one host with a group larger than any host.
   // Its members here tell how large it is: so many parts have keys of their own.
-  static std::uint64_t key_of(const Event& event, int parts) {
-    if (event.group)
-      return hash(static_cast<std::uint64_t>(*event.group) +
-                  (parts > 1 ? hash(event.id) % static_cast<std::uint64_t>(parts) : 0));
+  static std::uint64_t key_of(const Event& event, int part) {
+    if (event.group) return hash(static_cast<std::uint64_t>(*event.group + part));
     if (event.key) return hash(static_cast<std::uint64_t>(*event.key));
     return hash(event.id);
   }
@@ -611,8 +612,9 @@
     const auto taken = [&](const Card& card) {  // so many of its points are its own
       return static_cast<int>(std::lround((seek.event.mid_flow ? 1 : card.weight) * points_of(card)));
     };
-    const int parts = seek.fleet.alone ? 1 + static_cast<int>(seek.members / (kPart * seek.fleet.each)) : 1;
-    circle_.walk(key_of(seek.event, parts), taken, [&](const std::string& id, const Card& card) {
+    const int parts = seek.fleet.alone ? 1 + static_cast<int>(seek.members / seek.fleet.each) : 1;
+    const int part = parts > 1 ? static_cast<int>(around_.chance.share() * parts) : 0;
+    circle_.walk(key_of(seek.event, part), taken, [&](const std::string& id, const Card& card) {
       const bool fits = seek.host.empty() || drops_repeats(seek, card);
       // Danger: a host that drops connections is over its end; more are dropped too and come again at once.
       const bool over = std::max(card.shedding, card.late) > around_.now;
@@ -797,8 +799,8 @@
     for (auto& [id, held] : held_) {
       if (!held.standing || held.answered) continue;
       if (!host.empty() && held.tries.back().host != host) continue;
-      const bool whole = held.event.group && !alone;
-      const auto group = hash(whole ? static_cast<std::uint64_t>(*held.event.group) : hash(id));
+      const auto& by = held.event.group && !alone ? held.event.group : held.event.key;
+      const auto group = hash(by ? static_cast<std::uint64_t>(*by) : hash(id));
       if (static_cast<double>(hash(group ^ hash(host)) >> 32) >= part * 4294967296.0) continue;
       if (static_cast<int>(moved_.size()) >= spare) return;  // danger: moved work chases itself without room
       move(held);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -47,12 +47,13 @@
  public:
   Node(Loop& loop, Configuration configuration);  // throws std::runtime_error on a setting that is missing
 
-  std::optional<std::string> start();  // what went wrong, if anything
-  void settle();                       // lets the module see what happened in this turn
-  void stop();                         // SIGTERM
-  void reload(const Read& read);       // SIGHUP: whole or not at all
-  bool done();                         // may end
-  void report() const;                 // the counters, to the log
+  std::optional<std::string> start();                     // what went wrong, if anything
+  void settle();                                          // lets the module see what happened in this turn
+  void stop();                                            // SIGTERM
+  void reload(const Read& read);                          // SIGHUP: whole or not at all
+  bool done();                                            // may end
+  void report() const;                                    // the counters, to the log
+  const Shadow* shadow() const { return shadow_.get(); }  // null while the watching mode is off
 
  private:
   struct Held {
--- a/src/notes.h
+++ b/src/notes.h
@@ -127,7 +127,7 @@
   double score = 100;      // mean of the others, where a new host starts
   double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
   double mean = 0;         // open connections for a size of 1, in this node's own zone
-  double each = 0;         // open connections for one host
+  double each = 1e9;       // open connections for one host, at least two of all nodes
   bool alone = false;      // hosts hold next to nothing of this node, and of others nothing is told
   double held = -1;        // the same of all nodes, as far as told; below 0: unknown
   double load = -1;        // of hosts over what they can do, as reported of late; below 0: unknown
--- a/tests/helper.h
+++ b/tests/helper.h
@@ -26,6 +26,7 @@
   std::map<std::string, int> probes;
   std::vector<std::string> moved;
   std::set<std::string> silent, failing;  // hosts that answer no probe, or answer with an error
+  double load = -1;                       // that probes report, where it is not below 0
 
   Fake() {
     traffic(0, "plain", "idempotent", "all");
@@ -131,22 +132,30 @@
     return tell(event);
   }
 
+  // Answers the probes of the last step, and those that follow from the answers.
+  void answer_probes() {
+    std::vector<Action> asked = last;
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+      if (asked[i].kind != ActionKind::probe) continue;
+      Event answer;
+      answer.kind = EventKind::probe_ended;
+      answer.host = asked[i].host;
+      answer.outcome = silent.count(answer.host)    ? Outcome::no_answer
+                       : failing.count(answer.host) ? Outcome::error
+                                                    : Outcome::honoured;
+      if (load >= 0) answer.report = {load};
+      for (const Action& action : tell(answer)) asked.push_back(action);
+    }
+  }
+
   // Lets time pass: alarms come due, and every probe is answered at once unless its host is silent.
   void pass(Tenths span) {
     for (const Tenths until = now + span; now < until;) {
       now += 1000;
       Event alarm;
       alarm.number = 1;
-      for (const Action& action : std::vector<Action>(tell(alarm))) {
-        if (action.kind != ActionKind::probe) continue;
-        Event answer;
-        answer.kind = EventKind::probe_ended;
-        answer.host = action.host;
-        answer.outcome = silent.count(action.host)    ? Outcome::no_answer
-                         : failing.count(action.host) ? Outcome::error
-                                                      : Outcome::honoured;
-        tell(answer);
-      }
+      tell(alarm);
+      answer_probes();
     }
   }
 
@@ -192,7 +201,8 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
-  explicit Net(int descriptors = 1024, bool knows_a_list = true) {
+  explicit Net(int descriptors = 1024, bool knows_a_list = true,
+               const std::function<void(Configuration&)>& also = {}) {
     hosts_at = listening(hosts);
     const std::string at = text_of(hosts_at);
     nlohmann::json list = nlohmann::json::array();
@@ -213,6 +223,7 @@
       "bounds": {"maxAttempts": 4, "maxRetryAfterMs": 1500, "retryAfter": true, "probes": false, "dialTimeoutMs": 250},
       "extra": {"messageAimMs": [50]}, "lanes": [{"name": "plain", "semantics": "idempotent", "group": "all",
       "windowMs": 5000, "objectiveMs": 800, "hardLimitMs": 2000}]})");
+    if (also) also(to);
     node = std::make_unique<Node>(loop, to);
     EXPECT_FALSE(node->start());
   }
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -225,7 +225,7 @@
   for (int i = 0; i < 40; ++i) {
     Fake fake;
     fake.start(4, static_cast<std::uint64_t>(i));
-    fake.arrive("a", 1, "plain", false, i);
+    fake.arrive("a", i, "plain", false, i);
     fake.stand("a");
     fake.delay("a", 2000);
     fake.pass(1000);
@@ -689,6 +689,133 @@
   return at;
 }
 
+TEST(LiveWeights, AWeightThatSinksAsAHostFillsMovesNoGroupAndTellsWhatItHolds) {
+  for (const char* weights : {"live", "nominal"}) {
+    Fake fake;
+    fake.settings["weights"] = std::string(weights);
+    fake.settings["nodes"] = 30.0;
+    fake.start(0);
+    const auto list = [&](const std::string& host, double weight) {
+      Listing entry = Fake::listing(host);
+      entry.kind = "three", entry.size = weight;
+      fake.list(entry, HostState::healthy);
+    };
+    for (int i = 0; i < 6; ++i) list("h" + std::to_string(i), 3);
+    fake.pass(100000);
+    std::map<std::int64_t, std::string> before;
+    for (std::int64_t group = 0; group < 20; ++group) {
+      const std::string id = "a" + std::to_string(group);
+      before[group] = fake.arrive(id, group, "plain", false, group);
+      fake.end(id, Outcome::cancelled, true);
+    }
+    for (int i = 0; i < 6; ++i)
+      list("h" + std::to_string(i), i == 0 ? 0.1 : 1.5);  // 87 held at h0, 3 elsewhere
+    int stayed = 0, to_the_full_one = 0;
+    for (std::int64_t group = 0; group < 20; ++group) {
+      const std::string id = "b" + std::to_string(group),
+                        host = fake.arrive(id, group, "plain", false, group);
+      fake.end(id, Outcome::cancelled, true);
+      stayed += before[group] != "h0" && host == before[group] ? 1 : 0;
+      to_the_full_one += host == "h0" ? 1 : 0;
+    }
+    const auto elsewhere =
+        std::count_if(before.begin(), before.end(), [](auto& one) { return one.second != "h0"; });
+    if (std::string(weights) == "nominal") continue;  // there a weight is a size, and points may move with it
+    EXPECT_EQ(stayed, elsewhere);
+    EXPECT_EQ(to_the_full_one, 0) << "what others hold there is told by the weight alone";
+  }
+}
+
+TEST(Groups, OneLargerThanAHostIsPartedWhereNobodyTellsWhatIsHeld) {
+  Fake fake;
+  fake.settings["nodes"] = 60.0;
+  fake.start(20);
+  fake.pass(100000);
+  std::set<std::string> large;
+  for (int i = 0; i < 30; ++i) {  // one and a half a host here: all of sixty nodes would be ninety
+    const std::string id = "a" + std::to_string(i);
+    large.insert(fake.arrive(id, i, "plain", false, 1));
+    fake.stand(id);
+  }
+  EXPECT_GE(large.size(), 10u);
+  EXPECT_EQ(fake.arrive("s1", 2, "plain", false, 3), fake.arrive("s2", 3, "plain", false, 3));
+}
+
+TEST(Moves, WhereGroupsArePartedALateHostIsNotClearedByTheGroup) {
+  Fake fake;
+  fake.settings["nodes"] = 60.0;
+  fake.start(20);
+  fake.pass(100000);
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    fake.arrive(id, i, "plain", false, 1);
+    fake.stand(id);
+  }
+  std::map<std::string, int> holds;
+  for (int i = 0; i < 20; ++i) ++holds[fake.tries["a" + std::to_string(i)].back()];
+  const auto most =
+      std::max_element(holds.begin(), holds.end(), [](auto& a, auto& b) { return a.second < b.second; });
+  ASSERT_GE(most->second, 2);
+  std::string one;
+  for (int i = 0; i < 20; ++i)
+    if (fake.tries["a" + std::to_string(i)].back() == most->first) one = "a" + std::to_string(i);
+  for (int step = 0; step < 3; ++step) fake.delay(one, 600), fake.pass(5000);
+  EXPECT_LT(fake.moved.size(), static_cast<std::size_t>(most->second))
+      << "all at a stroke is the next host's end";
+}
+
+TEST(Lists, HostsThatLeftAreNotCountedAmongThoseToAsk) {
+  Fake fake;
+  fake.start(12);
+  fake.pass(100000);
+  for (int i = 0; i < 11; ++i) fake.list(Fake::listing("h" + std::to_string(i)), HostState::gone);
+  for (int i = 0; i < 20; ++i)  // eleven gone hosts stand before the last one in many routes
+    EXPECT_EQ(fake.arrive("a" + std::to_string(i), i), "h11");
+}
+
+TEST(Probes, WhereLittleComesAndLoadsAreReportedSteadyOnesAreFew) {
+  std::map<double, int> sent;
+  for (const double price : {0.0, 0.004}) {
+    Fake fake;
+    fake.settings["report.load"] = 0.0;
+    fake.settings["price_probe"] = price;
+    fake.start(12);
+    fake.pass(600000);
+    for (const auto& [host, probes] : fake.probes) sent[price] += probes;
+  }
+  EXPECT_GT(sent[0.0], 400);
+  EXPECT_LT(sent[0.004] * 5, sent[0.0]);
+  EXPECT_GT(sent[0.004], 0) << "the second signal still speaks";
+}
+
+TEST(Cold, HostsThatReportLittleLoadShowThatANewOneBearsMore) {
+  std::map<double, int> taken;
+  for (const double load : {0.1, 0.9}) {
+    Fake fake;
+    fake.settings["nodes"] = 3.0;
+    fake.settings["report.load"] = 0.0;
+    fake.load = load;
+    fake.start(4);
+    fake.pass(100000);
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = "a" + std::to_string(i);
+      fake.arrive(id, i);
+      fake.answer_probes();
+      if (!fake.tries[id].empty()) fake.stand(id);
+    }
+    for (int i = 0; i < 4; ++i) fake.list(Fake::listing("h" + std::to_string(i)), HostState::draining);
+    fake.list(Fake::listing("new", "near", fake.now), HostState::healthy);
+    for (int i = 0; i < 40; ++i) {
+      fake.now += 500;
+      const std::string id = "b" + std::to_string(i);
+      fake.arrive(id, i);
+      fake.answer_probes();
+      taken[load] += !fake.tries[id].empty() && fake.tries[id].back() == "new" ? 1 : 0;
+    }
+  }
+  EXPECT_GT(taken[0.1], taken[0.9]);
+}
+
 }  // namespace
 
 TEST(Crowd, ANewNodeDoesNotHeapAllOnItsOneNearHost) {
