--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -59,9 +59,12 @@
   const char* variable = std::getenv("PROXY_CONFIG");
   out.files.json = variable ? variable : "";
   if (!only_check) return out;
-  std::cerr << told_whole(out.files);
+  const std::string told = told_whole(out.files);
+  std::cerr << told;
   const Read read = read_configuration(out.files, Source::environment_first);
-  if (!read.taken && out.files.language.empty()) std::cerr << "dapplewharf: " << read.fault << std::endl;
+  // What is no file in the language is not among those: the platform's JSON, and settings to watch.
+  if (!read.taken && told.find(read.fault.substr(0, read.fault.find(": "))) == std::string::npos)
+    std::cerr << "dapplewharf: " << read.fault << std::endl;
   if (read.taken) std::cout << "the configuration is good" << std::endl;
   out.code = read.taken ? 0 : 2;
   return out;
