--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -744,7 +744,9 @@
       tell_host(event, event.host);
     }
     held_[event.id] = held;
-    if (event.kind == EventKind::attachment) seek(held_[event.id]);
+    if (event.kind != EventKind::attachment) return;
+    if (around_.rules.further_span > 0) taken_.push_back(around_.now);
+    seek(held_[event.id]);
   }
 
   void stands(Attachment& held, const Event& event) {
@@ -826,6 +828,19 @@
     return true;
   }
 
+  // Danger: each failure answered by another try makes one host's trouble everybody's work. Where tries
+  // beyond the first are rationed, whoever finds none left is answered at once. A tick to the safe side at
+  // both ends.
+  bool budget_allows() {
+    const Rules& rules = around_.rules;
+    if (rules.further_span <= 0) return true;
+    const auto span = static_cast<Tenths>(rules.further_span);
+    while (!taken_.empty() && around_.now - taken_.front() >= span) taken_.pop_front();
+    while (!further_.empty() && around_.now - further_.front() > span + 1) further_.pop_front();
+    return static_cast<double>(further_.size() + 1) <=
+           rules.further_least + rules.further_share * static_cast<double>(taken_.size());
+  }
+
   // The one place that decides whether an attachment may be rejected: that says that a repeat is harmless.
   bool may_be_rejected(const Attachment& held) const {
     if (held.effect == "idempotent") return true;
@@ -847,6 +862,7 @@
 
   void seek(Attachment& held) {
     if (!may_be_tried_again(held) || (limited() && out_ >= window_)) return give_up(held);
+    if (!budget_allows() && !held.tries.empty()) return give_up(held);  // asked of all: old ones go
     Note& note = around_.write(Part::roster, Topic::seek);
     note.event = held.event;
     if (held.event.group)
@@ -877,6 +893,15 @@
 
   void send(const std::string& id, const std::string& host) {
     Attachment& held = held_[id];
+    if (!held.tries.empty()) {
+      if (!budget_allows()) {  // spent since it was sought: the host has counted it, and counts it out again
+        Event unsent;
+        unsent.kind = EventKind::try_ended, unsent.outcome = Outcome::not_sent;
+        tell_host(unsent, host);
+        return give_up(held);
+      }
+      further_.push_back(around_.now);
+    }
     held.tries.push_back({host, around_.now, true, true});
     ++out_;
     around_.act(ActionKind::setup_try, id, host, 0, time_out(held));
@@ -910,9 +935,10 @@
       lately_;         // each host's last set-up of this second: when, good
   double window_ = 1;  // set-ups that may be out while they go wrong everywhere
   int out_ = 0;
-  Tenths cut_at_ = 0, none_at_ = 0;  // none: in a crowd an attachment found no host
-  std::deque<Tenths> times_;         // of the last set-ups that stood
-  std::deque<Tenths> moved_;         // when connections were moved, over the last second
+  Tenths cut_at_ = 0, none_at_ = 0;     // none: in a crowd an attachment found no host
+  std::deque<Tenths> times_;            // of the last set-ups that stood
+  std::deque<Tenths> taken_, further_;  // where rationed: attachments taken, and tries beyond a first
+  std::deque<Tenths> moved_;            // when connections were moved, over the last second
 };
 
 }  // namespace
--- a/src/notes.h
+++ b/src/notes.h
@@ -77,6 +77,7 @@
 struct Rules {
   double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
   double shortest_goal, longest_expiry, max_tries, price_crossing, price_probe;
+  double further_least, further_share, further_span;  // tries beyond an attachment's first; span 0: no limit
   bool probes_allowed, drain_binds_alone, live_weights, on_request;
   std::string zone;
   explicit Rules(const Settings& from)
@@ -94,6 +95,9 @@
         max_tries(number(from, "max_tries", 1)),
         price_crossing(number(from, "price_crossing", 0)),
         price_probe(number(from, "price_probe", 0)),
+        further_least(number(from, "further_tries_least", 0)),
+        further_share(number(from, "further_tries_share", 0)),
+        further_span(number(from, "further_tries_span", 0)),
         probes_allowed(number(from, "probes_allowed", 0) != 0),
         drain_binds_alone(number(from, "drain_binds_alone", 0) != 0),
         live_weights(text(from, "weights") == "live"),
