The budget of tries in the configuration language, checked with its place; its stories

further_tries, further_tries_share and further_tries_span in rules { }, all three or none; the platform's JSON is checked alike and what the platform rations cannot be loosened.

--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -46,6 +46,26 @@
   return "";
 }
 
+// Danger: half a budget of further tries would be none, or one that nothing can be sent within.
+void budget_holds(const json& from, const std::string& path) {
+  const json guarantees = from.value("/settings/guarantees"_json_pointer, json::object());
+  const char* const names[] = {"extraFloor", "repeatRatio", "countedOverMs"};
+  for (const char* name : names) {
+    if (!guarantees.is_object() || !guarantees.contains(name)) continue;
+    const json& value = guarantees[name];
+    const bool span = std::string(name) == "countedOverMs";
+    std::string begin = name;
+    begin = place_of(path, '"' + begin + '"').append("'").append(begin).append("' ");
+    if (!value.is_number() || value.get<double>() < 0 || (span && value.get<double>() < 1))
+      throw std::runtime_error(begin + "is " + value.dump() + "; expected a number" +
+                               (span ? " of milliseconds, 1 at the least" : ", not below 0"));
+    for (const char* other : names)
+      if (!guarantees.contains(other))
+        throw std::runtime_error(begin + "stands without '" + other +
+                                 "'; expected all three that ration further tries, or none");
+  }
+}
+
 // Danger: a flag that is none would let this node send to hosts that are gone, or keep it from those that are
 // not; a meaning of weights that is none would be taken for another.
 void settings_hold(const json& from, const std::string& path) {
@@ -61,6 +81,7 @@
   if (!flag.is_boolean())
     throw std::runtime_error(place_of(path, "\"drainBindsAlone\"") + "'drainBindsAlone' is " + flag.dump() +
                              "; expected true or false");
+  budget_holds(from, path);
 }
 
 // Danger: a file that is half right is not taken by halves.
--- a/src/sidecar/document.cpp
+++ b/src/sidecar/document.cpp
@@ -459,6 +459,15 @@
     if (rules->find("drain_grace") && rules->amount("drain_grace") < 200)
       fault(place(*rules, "drain_grace"),
             "the grace is shorter than two looks at the clock; expected 200ms or more", true);
+    const char* const budget[] = {"further_tries", "further_tries_share", "further_tries_span"};
+    for (const char* name : budget)
+      for (const char* other : budget)
+        if (rules->find(name) && !rules->find(other))
+          fault(place(*rules, name), "'" + std::string(name) + "' stands without '" + other +
+                                         "'; expected all three that ration further tries, or none");
+    if (rules->find("further_tries") &&
+        rules->amount("further_tries") != std::floor(rules->amount("further_tries")))
+      fault(place(*rules, "further_tries"), "'further_tries' is no whole number; expected one");
     const Block* fleet = to_.find("fleet");
     if (fleet && fleet->amount("me") >= fleet->amount("nodes"))
       fault(place(*fleet, "me"), "'me' is " + number_text(fleet->amount("me")) + " of " +
--- a/src/sidecar/render.cpp
+++ b/src/sidecar/render.cpp
@@ -166,7 +166,8 @@
   std::vector<Fault> out;
   for (const auto& [block_name, name] :
        {std::pair("rules", "drain_grace"), std::pair("rules", "grace_to_answer"),
-        std::pair("rules", "fall_multiple"), std::pair("limits", "descriptors"),
+        std::pair("rules", "fall_multiple"), std::pair("rules", "further_tries"),
+        std::pair("rules", "further_tries_share"), std::pair("limits", "descriptors"),
         std::pair("limits", "memory"), std::pair("limits", "cores"), std::pair("limits", "tries"),
         std::pair("limits", "come_back")}) {
     const Block* block = document.find(block_name);
@@ -181,6 +182,16 @@
                                            "; expected no more"});
   }
   const Block* rules = document.find("rules");
+  // A budget over another span is another budget; without one tries are not rationed at all.
+  const Row& span_row = *row_of("rules", "further_tries_span");
+  const json::json_pointer span_at(where(span_row, 0).pointer);
+  const Setting* span = rules ? rules->find("further_tries_span") : nullptr;
+  if (rules && platform.contains(span_at) && platform.at(span_at).is_number() &&
+      (!span || json_of(span->value) != platform.at(span_at)))
+    out.push_back({span ? span->value.place : rules->place,
+                   std::string("'further_tries_span' is ") + (span ? span->value.raw : "missing") +
+                       ", the platform rations over " + text_of(span_row, platform.at(span_at)) +
+                       "; expected the same"});
   const Setting* alone = rules ? rules->find("drain_binds_alone") : nullptr;
   const json::json_pointer at(where(*row_of("rules", "drain_binds_alone"), 0).pointer);
   if (alone && json_of(alone->value) == true && platform.value(at, json(false)) != true)
--- a/src/sidecar/schema.cpp
+++ b/src/sidecar/schema.cpp
@@ -99,6 +99,13 @@
        "of a cold host's present capacity that pushes it over"},
       {"rules", "fall_time", T::duration, 1, kMinute, "", "", "0.2", true, "/fallMs",
        "when it is sent so much for so long"},
+      {"rules", "further_tries", T::number, 0, 1e6, "", "-", "0.4", true, "/extraFloor",
+       "tries beyond an attachment's first that this node may make in further_tries_span, however little "
+       "comes"},
+      {"rules", "further_tries_share", T::share, 0, 100, "", "-", "0.4", true, "/repeatRatio",
+       "and as many more, of the attachments that it took in that span"},
+      {"rules", "further_tries_span", T::duration, 1, kHour, "", "-", "0.4", true, "/countedOverMs",
+       "over which both are counted; the three stand together, without them tries are not rationed"},
       {"prices", "probe", T::number, 0, 1000, "", "0", "0.2", true, "/probe", "of one probe an attachment"},
       {"prices", "move", T::number, 0, 1000, "", "0", "0.2", true, "/moves", "of moving each client once"},
       {"prices", "crossing", T::number, 0, 1000, "", "0", "0.2", true, "/crossZone",
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -881,3 +881,74 @@
   EXPECT_EQ(at.count("h0"), 0u) << "it would be filled up again";
   EXPECT_EQ(at.at("h1"), 20) << "nobody there is cut off, so no crowd comes";
 }
+
+// Tries beyond an attachment's first are rationed: two, and a tenth of what is taken, in two seconds.
+struct Rationed : Fake {
+  Rationed() {
+    settings["further_tries_least"] = 2.0, settings["further_tries_share"] = 0.1;
+    settings["further_tries_span"] = 20000.0;
+    start(8);
+  }
+  std::size_t further = 0;
+  void fails(const std::string& id, Outcome outcome) {
+    arrive(id, static_cast<std::int64_t>(hash(id) >> 12));
+    for (std::size_t before = 0; tries[id].size() > before && tries[id].size() < 9;)
+      before = tries[id].size(), end(id, outcome);
+    further += tries[id].size() - 1;
+  }
+};
+
+TEST(Budget, FurtherTriesKeepWithinItWhateverTheFirstEndedWith) {
+  for (const Outcome outcome : {Outcome::error, Outcome::turned_away, Outcome::no_connection, Outcome::lost}) {
+    Rationed fake;
+    fake.fails("a", outcome);
+    EXPECT_EQ(fake.further, 2u);
+    EXPECT_TRUE(fake.said(ActionKind::reject, "a")) << "answered at once";
+    EXPECT_GT(fake.told("a"), 0);
+    for (int i = 0; i < 8; ++i) fake.fails("b" + std::to_string(i), outcome);
+    EXPECT_EQ(fake.further, 2u) << "nine were taken, ten would allow a third";
+    fake.fails("c", outcome);
+    EXPECT_EQ(fake.further, 3u) << "what ends rejected was taken all the same";
+  }
+}
+
+TEST(Budget, TheWindowsEdgesAreOnTheSafeSide) {
+  Rationed fake;
+  fake.fails("a", Outcome::error);
+  fake.now += 20000;  // still within the span of both tries, and the attachment no longer counts
+  fake.fails("b", Outcome::error);
+  EXPECT_EQ(fake.further, 2u);
+  fake.now += 2;
+  fake.fails("c", Outcome::error);
+  EXPECT_EQ(fake.further, 4u);
+}
+
+TEST(Budget, OneThatIsSpentWhileAHostIsLookedAtIsNotOverdrawn) {
+  Rationed fake;
+  fake.settings["report.load"] = 0.0;
+  fake.load = 0.2;
+  fake.start(8);
+  for (const char* id : {"a", "b", "c", "d"}) fake.arrive(id), fake.answer_probes();
+  fake.now += 16000;  // every report is old: hosts are looked at before they are sent anything
+  std::vector<Action> looks;
+  for (const char* id : {"a", "b", "c", "d"})
+    for (const Action& action : fake.end(id, Outcome::error)) looks.push_back(action);
+  fake.last = looks;
+  fake.answer_probes();
+  std::size_t further = 0;
+  for (const char* id : {"a", "b", "c", "d"}) further += fake.tries[id].size() - 1;
+  EXPECT_EQ(further, 2u);
+}
+
+TEST(Budget, WithoutItNothingIsRationed) {
+  Fake fake;
+  fake.start(8);
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    fake.arrive(id, 100 * i);
+    fake.end(id, Outcome::turned_away);
+    EXPECT_EQ(fake.tries[id].size(), 2u);
+    fake.stand(id);
+    fake.pass(2 * kSecond);
+  }
+}
