--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -179,7 +179,10 @@
     const double budget = std::max(own, 1 / rules.nodes);  // one for all nodes at the least
     if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
     const double heaped = card_.elsewhere >= 0 ? kToldOver : kHomeOver;  // that much may seek this one host
-    const double expected = fleet_.sought * card_.size * heaped * window / kSoughtSpan;
+    // Danger: a group's ring leads all nodes to one host, and one from each of a crowd that gathers is a
+    // heap.
+    const double expected =
+        std::max(fleet_.sought * card_.size * heaped, fleet_.sought_alike) * window / kSoughtSpan;
     return sent_within(window * rules.nodes, 1) < 1 && around_.chance.share() * expected < budget;
   }
 
@@ -405,9 +408,11 @@
     if (note.topic == Topic::event) list(note.event);
     if (note.topic == Topic::pulse) pulse();
     if (note.topic == Topic::seek) {
-      sought_.push_back(around_.now);
+      sought_.emplace_back(around_.now, note.event.group);
       if (note.hosts.empty()) keep_last(came_, around_.now, kTimes);
-      const Fleet fleet = figures();
+      Fleet fleet = figures();
+      if (note.event.group)
+        for (const auto& [when, group] : sought_) fleet.sought_alike += group == note.event.group;
       around_.pass_on(note, Part::ring, Topic::seek).fleet = fleet;
     }
     set_alarm();
@@ -543,7 +548,7 @@
                                         (around_.now - came_.front() + kSecond));
     fleet.bears = bears_;
     fleet.alone = fleet.held < 0 && fleet.each < kOverBy;
-    std::erase_if(sought_, [this](Tenths when) { return around_.now - when > kSoughtSpan; });
+    std::erase_if(sought_, [this](const auto& one) { return around_.now - one.first > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
     // Danger: trouble behind most hosts, or a node that alone sees it: moving work only churns it.
     fleet.frozen = bad * 2 > hosts || silent();
@@ -561,8 +566,8 @@
   std::set<std::string> listed_;
   std::map<std::string, double> largest_;  // size of each kind of machine, where weights move
   std::set<std::pair<Tenths, std::string>> due_;
-  std::deque<Tenths> sought_;  // when a host was sought lately
-  std::deque<Tenths> came_;    // the start, and when the last attachments came
+  std::deque<std::pair<Tenths, std::optional<std::int64_t>>> sought_;  // when a host was, for which group
+  std::deque<Tenths> came_;  // the start, and when the last attachments came
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
   double bears_ = 0;  // of the last hosts that were warm
--- a/src/notes.h
+++ b/src/notes.h
@@ -128,18 +128,19 @@
 // What the roster tells everyone of the fleet.
 struct Fleet {
   bool frozen = false;
-  double score = 100;      // mean of the others, where a new host starts
-  double crowd_limit = 0;  // new connections a second that a host takes, of the mean; 0: no limit
-  double mean = 0;         // open connections for a size of 1, in this node's own zone
-  double each = 1e9;       // open connections for one host, at least two of all nodes
-  bool alone = false;      // hosts hold next to nothing of this node, and of others nothing is told
-  double held = -1;        // the same of all nodes, as far as told; below 0: unknown
-  double load = -1;        // of hosts over what they can do, as reported of late; below 0: unknown
-  Tenths watch = 0;        // least time between steady probes of a host, for their price
-  int spare = 0;           // moved connections that hosts with room may take in a second
-  double sought = 0;       // how often a host was sought lately, for a size of 1
-  double bears = 0;        // open connections that a warm host of size 1 bears for this node
-  double granted = 0;      // open connections for a size of 1 that the tenants' shares allow, of all nodes
+  double score = 100;       // mean of the others, where a new host starts
+  double crowd_limit = 0;   // new connections a second that a host takes, of the mean; 0: no limit
+  double mean = 0;          // open connections for a size of 1, in this node's own zone
+  double each = 1e9;        // open connections for one host, at least two of all nodes
+  bool alone = false;       // hosts hold next to nothing of this node, and of others nothing is told
+  double held = -1;         // the same of all nodes, as far as told; below 0: unknown
+  double load = -1;         // of hosts over what they can do, as reported of late; below 0: unknown
+  Tenths watch = 0;         // least time between steady probes of a host, for their price
+  int spare = 0;            // moved connections that hosts with room may take in a second
+  double sought = 0;        // how often a host was sought lately, for a size of 1
+  double sought_alike = 0;  // of a seek: how often for its group
+  double bears = 0;         // open connections that a warm host of size 1 bears for this node
+  double granted = 0;       // open connections for a size of 1 that the tenants' shares allow, of all nodes
 };
 
 enum class Part { roster, ring, desk, host };
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -882,6 +882,27 @@
   EXPECT_EQ(at.at("h1"), 20) << "nobody there is cut off, so no crowd comes";
 }
 
+// hd97ac5: in a burst of one group's attachments the ring led each of 94 nodes to the same cold host.
+TEST(Cold, AGroupThatGathersOverAllNodesIsNoMoreThanAColdHostBears) {
+  std::int64_t group = 0;
+  {
+    Fake fake;
+    fake.start(40);
+    for (; fake.arrive("g" + std::to_string(group), 1, "plain", false, group) != "h0"; ++group)
+      fake.end("g" + std::to_string(group), Outcome::honoured, true);
+  }
+  int sent = 0;
+  for (std::uint64_t seed = 0; seed < 200; ++seed) {
+    Fake fake;
+    fake.settings["nodes"] = 200.0, fake.settings["fall_time"] = 10000.0;
+    fake.start(40, seed);
+    fake.list(Fake::listing("h0", "near", fake.now - 10000), HostState::healthy);
+    fake.pass(40000);
+    sent += fake.arrive("a", 1, "plain", false, group) == "h0" ? 1 : 0;
+  }
+  EXPECT_LE(sent, 30);
+}
+
 // Tries beyond an attachment's first are rationed: two, and a tenth of what is taken, in two seconds.
 struct Rationed : Fake {
   Rationed() {
@@ -899,7 +920,8 @@
 };
 
 TEST(Budget, FurtherTriesKeepWithinItWhateverTheFirstEndedWith) {
-  for (const Outcome outcome : {Outcome::error, Outcome::turned_away, Outcome::no_connection, Outcome::lost}) {
+  for (const Outcome outcome :
+       {Outcome::error, Outcome::turned_away, Outcome::no_connection, Outcome::lost}) {
     Rationed fake;
     fake.fails("a", outcome);
     EXPECT_EQ(fake.further, 2u);
