Nodes take turns at cold hosts by the host's age; a kind's hosts are known by what they bore

The chance of a try went by four times what is sought, the kind's worth by a mean with slow machines, a crowd's route is one host. Ruled out: the cap after lateness (10 to 28 refusals each 5 s), the crowd limit (a tenth of them). Change: what a cold host bears is dealt out by its age, evenly over the nodes, 0.7 of the stated multiple; chance (0.4) goes on where nothing is crowded or the host tells of room; a kind is remembered for what its warm hosts bore (30 s); in a crowd cold hosts are asked last, in the ring's order, before a client is rejected. Harm: groups are paid for on more hosts.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -15,12 +15,13 @@
 namespace {
 
 constexpr Tenths kNever = INT64_MAX / 2;
-constexpr Tenths kListSilent = 3 * kSecond;   // a lost list is asked for again well within this
-constexpr double kAskShared = 40 * kMs;       // a list service's time for one node's inquiry
-constexpr double kAskLatest = 0.7;            // of the time after which a node is taken as told
-constexpr Tenths kSoughtSpan = 10 * kSecond;  // long enough for a quiet node to see how much comes
-constexpr double kLeastTold = 0.1;            // reported loads under this tell little of what a host bears
-constexpr Tenths kPulse = 100 * kMs;          // least time between two looks at the clock
+constexpr Tenths kListSilent = 3 * kSecond;    // a lost list is asked for again well within this
+constexpr double kAskShared = 40 * kMs;        // a list service's time for one node's inquiry
+constexpr double kAskLatest = 0.7;             // of the time after which a node is taken as told
+constexpr Tenths kSoughtSpan = 10 * kSecond;   // long enough for a quiet node to see how much comes
+constexpr double kTurns = 0.7, kChance = 0.4;  // of what pushes a cold host over: by turns, by chance
+constexpr double kLeastTold = 0.1;             // reported loads under this tell little of what a host bears
+constexpr Tenths kPulse = 100 * kMs;           // least time between two looks at the clock
 
 constexpr int kBadRun = 3, kGoodRun = 12;  // design: in a row, they turn a signal; a score looks at twelve
 constexpr double kRamp[] = {0.05, 0.20, 0.50, 1.00};  // design: the climb of a return
@@ -33,10 +34,11 @@
 constexpr Tenths kProbeShared = kSecond;              // and of all nodes together for one host
 constexpr Tenths kProbeHurry = 200 * kMs;             // probes while a signal is in doubt
 constexpr Tenths kHurryShared = 65 * kMs;             // and of all nodes together that may be in doubt
-constexpr int kPoints = 30;       // virtual points for a size of 1: shares true to a few percent
-constexpr int kLooks = 3;         // hosts looked at and passed before one is taken unseen
-constexpr double kFull = 0.8;     // of capacity: messages begin to wait there
-constexpr double kScatter = 12;   // hosts that all nodes ask for one group while the crowd limit is on
+constexpr int kPoints = 30;             // virtual points for a size of 1: shares true to a few percent
+constexpr int kLooks = 3;               // hosts looked at and passed before one is taken unseen
+constexpr double kFull = 0.8;           // of capacity: messages begin to wait there
+constexpr double kBore = 30 * kSecond;  // what a kind of machine bore fades over this time
+constexpr double kScatter = 12;         // hosts that all nodes ask for one group while the crowd limit is on
 constexpr double kBusy = 0.3;     // of capacity, over the fleet: what groups cost twice is missed from there
 constexpr double kWatch = 0.005;  // of all that service can be worth: what steady probes may cost
 constexpr double kDear = 0.1;     // of all that service can be worth, for crossing zones each time
@@ -109,7 +111,7 @@
   void listed(const Listing& listing, bool fresh, double held) {
     const bool restarted = listing.started > started_ && known_;
     card_.zone = listing.zone;
-    card_.cell = listing.cell;
+    card_.cell = listing.cell, card_.kind = listing.kind;
     card_.size = listing.size > 0 ? listing.size : 1;
     if (held >= 0) card_.elsewhere = std::max(0.0, held - card_.open);
     started_ = listing.started;
@@ -168,22 +170,44 @@
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
   }
 
-  // Danger: all nodes push a cold host over. Each keeps to half of its part of what the host surely can: what
-  // shares grant or warm ones bear, over the warm-up. Under one by chance: one from each of many is a crowd.
+  // What a cold host of this size surely bears of this node, if it were warm: what shares grant, or what warm
+  // ones of its kind bore; so much of the stated multiple of it may come.
+  double bears() const {
+    auto kind = fleet_.bears.find(card_.kind);
+    if (kind == fleet_.bears.end()) kind = fleet_.bears.find("");
+    const double warm = kind == fleet_.bears.end() ? 0 : kind->second;
+    return std::max(warm, fleet_.granted / around_.rules.nodes) * card_.size *
+           std::max(1.0, around_.rules.fall_multiple * kTurns);
+  }
+
+  // Danger: all nodes push a cold host over, and one at a time from each of many is a crowd. All take turns
+  // by the one clock they share, the host's own age: what it bears at its present capacity, spread over the
+  // warm-up, is dealt out evenly, to each node from a place of its own among them; a turn not taken lapses.
+  // Where nothing is crowded, or the host itself tells of room, turns are few beside what comes, and chance
+  // goes by how much that is.
   bool cold_allows() const {
     const Rules& rules = around_.rules;
-    const double span = std::max(rules.cold_time, 1.0), window = rules.fall_time;
-    const double capacity = rules.cold_from + (1 - rules.cold_from) * std::clamp(age() / span, 0.0, 1.0);
-    const double bears = std::max(fleet_.bears, fleet_.granted / rules.nodes) * card_.size * capacity;
-    const double own = std::max(1.0, rules.fall_multiple / 2) * bears * window / span;
-    const double budget = std::max(own, 1 / rules.nodes);  // one for all nodes at the least
+    const double window = rules.fall_time, now = dealt(age()), before = dealt(age() - rules.fall_time);
+    const double place =
+        std::fmod(rules.me + static_cast<double>(hash(id_) >> 40), rules.nodes) / rules.nodes;
+    const bool turn = sent_within(window, 1) + 1 <= std::floor(place + now) - std::floor(place + before);
+    if (turn || (fleet_.crowd_limit && card_.roomy <= around_.now)) return turn;
+    const double budget = std::max((now - before) * kChance / kTurns, 1 / rules.nodes);
     if (budget >= 1) return sent_within(window, 0) + 1 <= budget;
+    if (sent_within(window * rules.nodes, 1) >= 1) return false;
     const double heaped = card_.elsewhere >= 0 ? kToldOver : kHomeOver;  // that much may seek this one host
     // Danger: a group's ring leads all nodes to one host, and one from each of a crowd that gathers is a
     // heap.
     const double expected =
         std::max(fleet_.sought * card_.size * heaped, fleet_.sought_alike) * window / kSoughtSpan;
-    return sent_within(window * rules.nodes, 1) < 1 && around_.chance.share() * expected < budget;
+    return around_.chance.share() * expected < budget;
+  }
+  double dealt(double age) const {  // to this node since the host's start
+    if (age <= 0) return 0;
+    const Rules& rules = around_.rules;
+    const double span = std::max(rules.cold_time, 1.0);
+    const double filled = rules.cold_from * age + (1 - rules.cold_from) * age * age / span / 2;
+    return bears() > 0 ? bears() * filled / span : age / rules.fall_time / rules.nodes;
   }
 
   double sent_within(double span, double least) const {  // only pieces of at least `least` count
@@ -512,7 +536,8 @@
   // Worked out from what the hosts last told, when somebody needs it.
   Fleet figures() {
     Fleet fleet;
-    double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
+    std::map<std::string, std::pair<double, double>> kinds;  // open connections and size, of warm hosts
+    double scores = 0, all_open = 0, all_size = 0, roomy = 0;
     double near_open = 0, near_size = 0, near_held = 0, near_told = 0, told = 0, told_size = 0;
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
@@ -526,7 +551,8 @@
       if (card.zone == around_.rules.zone && card.elsewhere >= 0)
         near_held += card.open + card.elsewhere, near_told += card.size;
       if (card.strained <= around_.now) roomy += card.size;
-      if (card.cold <= around_.now) open += card.open, size += card.size;
+      for (const std::string& kind : {card.kind, std::string()})
+        if (card.cold <= around_.now) kinds[kind].first += card.open, kinds[kind].second += card.size;
       if (card.cold <= around_.now && card.load >= 0) told += card.load * card.size, told_size += card.size;
     }
     fleet.crowd_limit = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld ? kInrush : 0;
@@ -541,7 +567,14 @@
     if (told_size > 0) fleet.load = told / told_size;
     // Danger: hosts hardly used are taken for weak; with none warm the successors of a whole fleet stay
     // empty.
-    if (size > 0) bears_ = open / size / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
+    // A kind that fell at a stroke is remembered for what it bore before.
+    const double kept =
+        std::exp(-static_cast<double>(around_.now - std::exchange(bore_at_, around_.now)) / kBore);
+    for (const auto& [kind, held] : kinds) {
+      const double now =
+          held.first / held.second / (fleet.load < 0 ? 1 : std::clamp(fleet.load, kLeastTold, 1.0));
+      bears_[kind] = std::max(now, bears_[kind] * kept);
+    }
     // Danger: where little comes, probes cost more than its service. Looks and messages watch there too.
     if (around_.rules.report_load >= 0 && !came_.empty())
       fleet.watch = static_cast<Tenths>(around_.rules.price_probe * hosts / kWatch / came_.size() *
@@ -566,11 +599,12 @@
   std::set<std::string> listed_;
   std::map<std::string, double> largest_;  // size of each kind of machine, where weights move
   std::set<std::pair<Tenths, std::string>> due_;
-  std::deque<std::pair<Tenths, std::optional<std::int64_t>>> sought_;  // when a host was, for which group
   std::deque<Tenths> came_;  // the start, and when the last attachments came
   bool started_ = false, subscribed_ = false, frozen_ = false, to_check_ = false;
   int losses_ = 0;
-  double bears_ = 0;  // of the last hosts that were warm
+  std::deque<std::pair<Tenths, std::optional<std::int64_t>>> sought_;  // when a host was, for which group
+  Tenths bore_at_ = 0;
+  std::map<std::string, double> bears_;  // of each kind's last hosts that were warm
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0, stopped_at_ = 0;
 };
 
@@ -617,6 +651,7 @@
     const auto taken = [&](const Card& card) {  // so many of its points are its own
       return static_cast<int>(std::lround((seek.event.mid_flow ? 1 : card.weight) * points_of(card)));
     };
+    const bool crowd = seek.fleet.crowd_limit > 0;
     const int parts = seek.fleet.alone ? 1 + static_cast<int>(seek.members / seek.fleet.each) : 1;
     const int part = parts > 1 ? static_cast<int>(around_.chance.share() * parts) : 0;
     circle_.walk(key_of(seek.event, part), taken, [&](const std::string& id, const Card& card) {
@@ -625,9 +660,9 @@
       const bool over = std::max(card.shedding, card.late) > around_.now;
       // Danger: where hosts are replaced, those that left stand first in a route and crowd out who is there.
       if (!fits || ((over || !card.healthy) && !seek.event.mid_flow)) return true;
-      ranked.emplace_back(rank(seek, id, card), &id);
+      if (good < kEnough || card.cold > around_.now) ranked.emplace_back(rank(seek, id, card), &id);
       if (ranked.back().first <= 1) ++good;
-      return good < kEnough;
+      return good < kEnough || crowd;
     });
     if (parts > 1 && !ranked.empty() && ranked.front().first <= 3) ranked.front().first = 0;
     std::stable_sort(ranked.begin(), ranked.end(),
@@ -635,11 +670,15 @@
     Note& route = around_.pass_on(seek, Part::desk, Topic::route);
     route.homes.clear(), route.hosts.clear();
     auto order = std::make_shared<std::vector<std::string>>();
+    std::vector<std::string> last;
     // Danger: a crowd scatters a group over every host that takes one, and each pays. Told room goes before.
-    const bool crowd = seek.fleet.crowd_limit > 0;
     const auto asks = std::max<std::size_t>(1, static_cast<std::size_t>(kScatter / around_.rules.nodes));
+    // Danger: a narrow route seldom leads to a cold host whose turn this node has, and they stay empty beside
+    // full ones: all of them are asked, in the order of the group's ring, before anybody is rejected.
     for (const auto& [rank, id] : ranked)
       if (!crowd || order->size() < asks || cards_[*id].roomy > around_.now) order->push_back(*id);
+      else if (cards_[*id].cold > around_.now && rank < 6) last.push_back(*id);
+    order->insert(order->end(), last.begin(), last.end());
     route.order = std::move(order);
   }
 
--- a/src/notes.h
+++ b/src/notes.h
@@ -75,13 +75,15 @@
 
 // What the settings say that is asked for with every event, looked up once. Throws naming a missing rule.
 struct Rules {
-  double nodes, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load, granted;
+  double nodes, me, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load,
+      granted;
   double shortest_goal, longest_expiry, max_tries, price_crossing, price_probe;
   double further_least, further_share, further_span;  // tries beyond an attachment's first; span 0: no limit
   bool probes_allowed, drain_binds_alone, live_weights, on_request;
   std::string zone;
   explicit Rules(const Settings& from)
       : nodes(std::max(1.0, number(from, "nodes", 1))),
+        me(number(from, "me", 0)),
         cold_from(needed(from, "cold_from")),
         cold_time(needed(from, "cold_time")),
         fall_time(needed(from, "fall_time")),
@@ -107,7 +109,7 @@
 
 // What a host tells the others of itself.
 struct Card {
-  std::string zone;
+  std::string zone, kind;
   std::int64_t cell = 0;
   double size = 1;
   double score = 100;
@@ -139,8 +141,8 @@
   int spare = 0;            // moved connections that hosts with room may take in a second
   double sought = 0;        // how often a host was sought lately, for a size of 1
   double sought_alike = 0;  // of a seek: how often for its group
-  double bears = 0;         // open connections that a warm host of size 1 bears for this node
-  double granted = 0;       // open connections for a size of 1 that the tenants' shares allow, of all nodes
+  std::map<std::string, double> bears{};  // open connections that a warm host of size 1 bears here, by kind
+  double granted = 0;  // open connections for a size of 1 that the tenants' shares allow, of all nodes
 };
 
 enum class Part { roster, ring, desk, host };
