Moves off a late host begin from a delay on that goes by the price of a move

Ruled out: load told, groups (418 pairs at the start, 770 at the end: the moves' own work), rejections. Change: from the delay on at which the share of messages over the goal, exp(-goal/delay), is 6.5 times the price of a move; half of the goal where a move costs 0.02 or less, 0.74 at 0.04.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -302,7 +302,8 @@
   bool dead() const {
     return (!probes_.good && silent_) || (strained() && delay_ > around_.rules.longest_expiry);
   }
-  bool late() const { return strained() && delay_ * 2 > around_.rules.shortest_goal; }
+  // Danger: where a move is dear, moving off hosts that still serve most messages costs more than it saves.
+  bool late() const { return strained() && delay_ > around_.rules.shortest_goal * around_.rules.late_from; }
   bool relieves() const { return card_.open > 0 && (dead() || late() || !in_service()); }
 
   void relieve() {
