Behind a slow store a try keeps all its time, and trouble lasts until a set-up goes well

Ruled out: hosts (probes 139 of 139 good), the crowd limit (no host late), the budget. Change: while the window holds a try has all the time that is left; trouble behind all lasts until one goes well; a host that takes no connection says nothing of what stands behind.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -809,7 +809,7 @@
   void learn(const std::string& host, bool good) {
     std::erase_if(lately_, [&](const auto& one) { return around_.now - one.second.first > kSecond; });
     lately_[host] = {around_.now, good};
-    if (good) window_ += 1 / window_;
+    if (good) window_ += 1 / window_, good_at_ = around_.now;
     if (good || !behind_all() || around_.now - cut_at_ < kPulse * 2) return;
     if (!limited())
       window_ = out_ + 1, around_.log("set-ups go wrong at most hosts, out " + std::to_string(out_));
@@ -818,6 +818,8 @@
   bool behind_all() const {
     const auto bad =
         std::count_if(lately_.begin(), lately_.end(), [](auto& one) { return !one.second.second; });
+    // Danger: with few out results come one by one, and each would be taken for its host's fault.
+    if (limited() && good_at_ < cut_at_) return true;
     return bad >= kBadRun && bad * 2 > static_cast<std::ptrdiff_t>(lately_.size());
   }
   bool limited() const { return cut_at_ > 0 && around_.now - cut_at_ < kTroubleHeld; }
@@ -831,8 +833,12 @@
     Event told = event;
     if (!held.standing) {
       --out_;
-      if (event.outcome != Outcome::cancelled && event.outcome != Outcome::not_sent) learn(last.host, false);
-      if (behind_all()) told.outcome = Outcome::cancelled;
+      // Danger: a host that takes no connection is down by itself, whatever stands behind the others.
+      if (event.outcome != Outcome::cancelled && event.outcome != Outcome::not_sent &&
+          event.outcome != Outcome::no_connection) {
+        learn(last.host, false);
+        if (behind_all()) told.outcome = Outcome::cancelled;
+      }
     }
     tell_host(told, last.host, held.standing);
     if (event.final || held.standing) held.answered = true;
@@ -956,7 +962,9 @@
   Tenths time_out(const Attachment& held) const {
     const Tenths left = held.event.expiry - around_.now;
     if (static_cast<double>(held.tries.size()) >= around_.rules.max_tries) return left;
-    if (held.effect == "unrepeatable" || held.event.mid_flow) return left;
+    // Danger: given up early, a set-up behind a slow store is work done for nobody, and its repeat is more of
+    // it.
+    if (held.effect == "unrepeatable" || held.event.mid_flow || limited()) return left;
     std::vector<Tenths> sorted(times_.begin(), times_.end());
     std::sort(sorted.begin(), sorted.end());
     const Tenths usual = sorted.empty() ? 0 : sorted[sorted.size() * 9 / 10];
@@ -980,6 +988,7 @@
       lately_;         // each host's last set-up of this second: when, good
   double window_ = 1;  // set-ups that may be out while they go wrong everywhere
   int out_ = 0;
+  Tenths good_at_ = 0;                  // when a set-up last went well
   Tenths cut_at_ = 0, none_at_ = 0;     // none: in a crowd an attachment found no host
   std::deque<Tenths> times_;            // of the last set-ups that stood
   std::deque<Tenths> taken_, further_;  // where rationed: attachments taken, and tries beyond a first
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -934,6 +934,34 @@
   EXPECT_LT(greatest, 2.5 * 0.9 * 100 / 4) << "and no window goes over the multiple";
 }
 
+// A store behind all hosts at a twelfth of its pace: each node's one try was given up early, and blamed its
+// host.
+TEST(Behind, ATryKeepsAllItsTimeAndNoHostIsBlamedUntilOneGoesWell) {
+  Fake fake;
+  fake.start(8);
+  for (int i = 0; i < 8; ++i) fake.arrive("a" + std::to_string(i), i * 1000);
+  const auto fails = [&](const std::string& id) {
+    for (std::size_t made = 0; made < fake.tries[id].size();)
+      made = fake.tries[id].size(), fake.end(id, Outcome::no_answer);
+  };
+  for (int i = 0; i < 8; ++i) fails("a" + std::to_string(i));
+  Tenths time_out = 0;
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "b" + std::to_string(i);
+    fake.pass(15000);  // longer than what is kept of each host's last set-up
+    fake.arrive(id, i * 777);
+    if (fake.tries[id].empty()) continue;
+    for (const Action& action : fake.last)
+      if (action.kind == ActionKind::setup_try) time_out = action.time;
+    EXPECT_EQ(time_out, 30000);
+    fails(id);
+    EXPECT_FALSE(std::any_of(fake.last.begin(), fake.last.end(), [](const Action& action) {
+      return action.kind == ActionKind::log && action.text.find("set-ups bad") != std::string::npos;
+    }));
+  }
+  EXPECT_GT(time_out, 0);
+}
+
 // Tries beyond an attachment's first are rationed: two, and a tenth of what is taken, in two seconds.
 struct Rationed : Fake {
   Rationed() {
