--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -52,7 +52,7 @@
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one, and arrivals their rate
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
 constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 2, kInrushAll = 6;  // no fewer; for all nodes together, as they add up
+constexpr double kInrushLeast = 2, kInrushAll = 2;  // no fewer; for all nodes together, as they add up
 constexpr double kRoomy = 4;                        // times as many where the host itself tells of room
 constexpr double kEase = 0.7;  // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
