--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -173,9 +173,12 @@
   // What a cold host of this size surely bears of this node, if it were warm: what shares grant, or what warm
   // ones of its kind bore; so much of the stated multiple of it may come.
   double bears() const {
-    auto kind = fleet_.bears.find(card_.kind);
-    if (kind == fleet_.bears.end()) kind = fleet_.bears.find("");
-    const double warm = kind == fleet_.bears.end() ? 0 : kind->second;
+    double warm = 0;
+    if (fleet_.bears && !fleet_.bears->empty()) {
+      const auto kind = fleet_.bears->find(card_.kind);
+      warm =
+          kind == fleet_.bears->end() ? fleet_.bears->begin()->second : kind->second;  // the first: all kinds
+    }
     return std::max(warm, fleet_.granted / around_.rules.nodes) * card_.size *
            std::max(1.0, around_.rules.fall_multiple * kTurns);
   }
@@ -538,12 +541,13 @@
   Fleet figures() {
     Fleet fleet;
     std::map<std::string, std::pair<double, double>> kinds;  // open connections and size, of warm hosts
-    double scores = 0, all_open = 0, all_size = 0, roomy = 0;
+    double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
     double near_open = 0, near_size = 0, near_held = 0, near_told = 0, told = 0, told_size = 0;
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
       if (!card.healthy) continue;
       ++hosts, scores += card.score;
+      if (card.cold > around_.now) fleet.some_cold = true;
       if (degraded(card)) ++bad;
       if (card.shedding > around_.now || (card.open && card.late > around_.now)) trouble_at_ = around_.now;
       all_open += card.open, all_size += card.size;
@@ -552,8 +556,10 @@
       if (card.zone == around_.rules.zone && card.elsewhere >= 0)
         near_held += card.open + card.elsewhere, near_told += card.size;
       if (card.strained <= around_.now) roomy += card.size;
-      for (const std::string& kind : {card.kind, std::string()})
-        if (card.cold <= around_.now) kinds[kind].first += card.open, kinds[kind].second += card.size;
+      if (card.cold <= around_.now) {
+        auto& kind = kinds[card.kind];
+        kind.first += card.open, kind.second += card.size, open += card.open, size += card.size;
+      }
       if (card.cold <= around_.now && card.load >= 0) told += card.load * card.size, told_size += card.size;
     }
     fleet.crowd_limit = trouble_at_ > 0 && around_.now - trouble_at_ < kTroubleHeld ? kInrush : 0;
@@ -568,6 +574,7 @@
     if (told_size > 0) fleet.load = told / told_size;
     // Danger: hosts hardly used are taken for weak; with none warm the successors of a whole fleet stay
     // empty.
+    if (size > 0) kinds[""] = {open, size};  // what a kind that was never seen goes by
     // A kind that fell at a stroke is remembered for what it bore before.
     const double kept =
         std::exp(-static_cast<double>(around_.now - std::exchange(bore_at_, around_.now)) / kBore);
@@ -580,7 +587,9 @@
     if (around_.rules.report_load >= 0 && !came_.empty())
       fleet.watch = static_cast<Tenths>(around_.rules.price_probe * hosts / kWatch / came_.size() *
                                         (around_.now - came_.front() + kSecond));
-    fleet.bears = bears_;
+    if (!told_bears_ || *told_bears_ != bears_)
+      told_bears_ = std::make_shared<const std::map<std::string, double>>(bears_);
+    fleet.bears = told_bears_;
     fleet.alone = fleet.held < 0 && fleet.each < kOverBy;
     std::erase_if(sought_, [this](const auto& one) { return around_.now - one.first > kSoughtSpan; });
     if (all_size > 0) fleet.sought = static_cast<double>(sought_.size()) / all_size;
@@ -605,6 +614,7 @@
   int losses_ = 0;
   std::deque<std::pair<Tenths, std::optional<std::int64_t>>> sought_;  // when a host was, for which group
   Tenths bore_at_ = 0;
+  std::shared_ptr<const std::map<std::string, double>> told_bears_;
   std::map<std::string, double> bears_;  // of each kind's last hosts that were warm
   Tenths lost_at_ = 0, ask_at_ = 0, trouble_at_ = 0, alarm_at_ = 0, pulsed_at_ = 0, stopped_at_ = 0;
 };
@@ -663,7 +673,7 @@
       if (!fits || ((over || !card.healthy) && !seek.event.mid_flow)) return true;
       if (good < kEnough || card.cold > around_.now) ranked.emplace_back(rank(seek, id, card), &id);
       if (ranked.back().first <= 1) ++good;
-      return good < kEnough || crowd;
+      return good < kEnough || (crowd && seek.fleet.some_cold);
     });
     if (parts > 1 && !ranked.empty() && ranked.front().first <= 3) ranked.front().first = 0;
     std::stable_sort(ranked.begin(), ranked.end(),
--- a/src/notes.h
+++ b/src/notes.h
@@ -98,8 +98,8 @@
         max_tries(number(from, "max_tries", 1)),
         price_crossing(number(from, "price_crossing", 0)),
         price_probe(number(from, "price_probe", 0)),
-        late_from(
-            std::clamp(-1 / std::log(6.5 * std::clamp(number(from, "price_move", 0), 0.001, 0.05)), 0.5, 1.0)),
+        late_from(std::clamp(-1 / std::log(6.5 * std::clamp(number(from, "price_move", 0), 0.001, 0.05)), 0.5,
+                             1.0)),
         further_least(number(from, "further_tries_least", 0)),
         further_share(number(from, "further_tries_share", 0)),
         further_span(number(from, "further_tries_span", 0)),
@@ -144,7 +144,9 @@
   int spare = 0;            // moved connections that hosts with room may take in a second
   double sought = 0;        // how often a host was sought lately, for a size of 1
   double sought_alike = 0;  // of a seek: how often for its group
-  std::map<std::string, double> bears{};  // open connections that a warm host of size 1 bears here, by kind
+  // Open connections that a warm host of size 1 bears here, by kind; "" over all kinds.
+  std::shared_ptr<const std::map<std::string, double>> bears;
+  bool some_cold = false;
   double granted = 0;  // open connections for a size of 1 that the tenants' shares allow, of all nodes
 };
 
