--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -51,15 +51,16 @@
 constexpr double kProbeWork = 0.1;  // a probe is a small part of a set-up to a cold host
 constexpr std::size_t kTimes = 40;  // set-up times kept to tell the usual one, and arrivals their rate
 constexpr Tenths kTroubleHeld = 5 * kSecond;  // the crowd limit outlasts the last late host
-constexpr double kInrush = 0.25;  // new connections a second for one host, of the mean that hosts hold
-constexpr double kInrushLeast = 2, kInrushAll = 2;  // no fewer; for all nodes together, as they add up
-constexpr double kRoomy = 4;                        // times as many where the host itself tells of room
+constexpr double kInrush = 0.25;    // new connections a second for one host, of the mean that hosts hold
+constexpr double kInrushLeast = 2;  // no fewer, for all nodes together, as they add up
+constexpr double kRoomy = 4;        // times as many where the host itself tells of room
 constexpr double kEase = 0.7;  // of this node's part of what the shares grant: a crowd does no harm below
 constexpr double kSpareShare = 0.15;  // moved work a second that hosts with room may take, of what they hold
 constexpr double kLeastRoom = 0.5;    // with less room late hosts still give up as much, to be in time again
 constexpr Tenths kCapHeld = 30 * kSecond;  // a host that was late is not filled up again for this long
 constexpr Tenths kRelief = 500 * kMs;  // between moves off a late host: time to see what the last ones did
 constexpr double kReliefShare = 0.15;  // of its connections: a few steps clear it, one overshoots little
+constexpr double kMoveWorth = 6.5;     // of its price: so many served seconds' share a move must save
 constexpr Tenths kLineSilent = 3 * kSecond;  // a line unanswered for so long: nobody is there for its client
 constexpr Tenths kFrontStops = 500 * kMs;    // a front still deals to a node that stops, for about this long
 constexpr Tenths kStrainHeld = 1500 * kMs;   // slow-message notes come each second: one lost is no relief
@@ -164,7 +165,7 @@
   // part of what hosts usually hold as new work in a second; whoever finds no host is told when to come back.
   bool crowd_allows() const {
     if (card_.open + kOverBy < kEase * fleet_.granted * card_.size / around_.rules.nodes) return true;
-    const double least = std::min(kInrushLeast, kInrushAll / around_.rules.nodes);
+    const double least = kInrushLeast / around_.rules.nodes;
     double rate = std::max(least, fleet_.crowd_limit * fleet_.mean * card_.size);  // a second
     if (card_.roomy > around_.now) rate *= kRoomy;  // its own word goes before others' trouble
     return sent_within(kSecond / std::min(1.0, rate), 1) + 1 <= std::max(1.0, rate);
@@ -208,9 +209,9 @@
   double dealt(double age) const {  // to this node since the host's start
     if (age <= 0) return 0;
     const Rules& rules = around_.rules;
-    const double span = std::max(rules.cold_time, 1.0);
+    const double span = std::max(rules.cold_time, 1.0), borne = bears();
     const double filled = rules.cold_from * age + (1 - rules.cold_from) * age * age / span / 2;
-    return bears() > 0 ? bears() * filled / span : age / rules.fall_time / rules.nodes;
+    return borne > 0 ? borne * filled / span : age / rules.fall_time / rules.nodes;
   }
 
   double sent_within(double span, double least) const {  // only pieces of at least `least` count
@@ -306,7 +307,12 @@
     return (!probes_.good && silent_) || (strained() && delay_ > around_.rules.longest_expiry);
   }
   // Danger: where a move is dear, moving off hosts that still serve most messages costs more than it saves.
-  bool late() const { return strained() && delay_ > around_.rules.shortest_goal * around_.rules.late_from; }
+  // exp(-goal / delay) of the messages are over the goal; from kMoveWorth times its price on a move pays.
+  bool late() const {
+    const double price = std::clamp(around_.rules.price_move, 0.001, 0.05);
+    const double from = std::clamp(-1 / std::log(kMoveWorth * price), 0.5, 1.0);
+    return strained() && delay_ > around_.rules.shortest_goal * from;
+  }
   bool relieves() const { return card_.open > 0 && (dead() || late() || !in_service()); }
 
   void relieve() {
--- a/src/notes.h
+++ b/src/notes.h
@@ -77,8 +77,7 @@
 struct Rules {
   double nodes, me, cold_from, cold_time, fall_time, fall_multiple, drain_grace, ask_within, report_load,
       granted;
-  double shortest_goal, longest_expiry, max_tries, price_crossing, price_probe;
-  double late_from;  // of the shortest goal: messages wait about as long as a connection's move is worth
+  double shortest_goal, longest_expiry, max_tries, price_crossing, price_probe, price_move;
   double further_least, further_share, further_span;  // tries beyond an attachment's first; span 0: no limit
   bool probes_allowed, drain_binds_alone, live_weights, on_request;
   std::string zone;
@@ -98,8 +97,7 @@
         max_tries(number(from, "max_tries", 1)),
         price_crossing(number(from, "price_crossing", 0)),
         price_probe(number(from, "price_probe", 0)),
-        late_from(std::clamp(-1 / std::log(6.5 * std::clamp(number(from, "price_move", 0), 0.001, 0.05)), 0.5,
-                             1.0)),
+        price_move(number(from, "price_move", 0)),
         further_least(number(from, "further_tries_least", 0)),
         further_share(number(from, "further_tries_share", 0)),
         further_span(number(from, "further_tries_span", 0)),
