--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -13,11 +13,17 @@
 namespace dapplewharf {
 namespace {
 
-// Short, so that a watch that hangs is noticed long before the node counts as told.
-constexpr Tenths kWait = 5 * kSecond;
-constexpr Tenths kPatience = 1500 * kMs;        // for an answer, over the wait that was asked for
+// Protocol page: what a silent watch misses counts as told so long after it fell silent, and what a new place
+// has to tell so long after SIGHUP.
+constexpr Tenths kToldUnheard = 6 * kSecond, kToldAnew = 4 * kSecond;
+// Half of that, so that there is as much again for a silent watch to be opened anew: all nodes' fall silent
+// together, and one service answers them in turn.
+constexpr Tenths kWait = 3 * kSecond;
+constexpr Tenths kPatience = 500 * kMs;         // for an answer, over the wait that was asked for
+constexpr Tenths kLongPatience = 1500 * kMs;    // the same from a service that let a watch hang just before
 constexpr Tenths kPause = 100 * kMs;            // short enough for the watch to go on
-constexpr Tenths kFetchPatience = 4 * kSecond;  // calls wait in turn behind those of other nodes
+constexpr Tenths kAgain = 200 * kMs;            // at most, between calls while something counts as told soon
+constexpr Tenths kFetchPatience = 2 * kSecond;  // calls wait in turn behind those of other nodes
 
 HostState state_of(const std::string& word) {
   if (word == "up") return HostState::healthy;
@@ -61,12 +67,14 @@
   return to;
 }
 
-Discovery::Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits, Heard heard)
+Discovery::Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits,
+                     std::uint64_t seed, Heard heard)
     : loop_(loop),
       counters_(counters),
       address_(std::move(address)),
       limits_(limits),
-      heard_(std::move(heard)) {}
+      heard_(std::move(heard)),
+      chance_(seed) {}
 
 void Discovery::watch() {
   watching_ = true;
@@ -88,18 +96,19 @@
   loop_.cancel(deadline_);
   out_ = false;
   anew_ = true;
+  owed_by_ = loop_.now() + kToldAnew;
   fetch();
 }
 
 void Discovery::next() {
   if (out_) return;
-  if (fetching_ || (watching_ && anew_)) return call("/api/targets", kFetchPatience);
+  if (fetching_ || (watching_ && anew_)) return call("/api/targets", false);
   if (!watching_) return;
-  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWait / kMs),
-       kWait + kPatience);
+  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWait / kMs), true);
 }
 
-void Discovery::call(const std::string& target, Tenths patience) {
+void Discovery::call(const std::string& target, bool waits) {
+  const Tenths patience = waits ? kWait + (hung_ ? kLongPatience : kPatience) : kFetchPatience;
   out_ = true;
   ++counters_.list_calls;
   request_ = get_request(address_, target);
@@ -107,7 +116,10 @@
   stale_ = static_cast<bool>(socket_);
   sent_ = 0;
   in_.clear();
-  loop_.at(deadline_, loop_.now() + patience, [this] { broken(false); });
+  loop_.at(deadline_, loop_.now() + patience, [this, waits] {
+    if (waits) owed_by_ = called_at_ + kToldUnheard, hung_ = hung_now_ = true;
+    broken(false);
+  });
   if (!socket_) return dial_out();
   loop_.want(watched_, POLLIN | POLLOUT);
   ready();
@@ -166,6 +178,7 @@
   const bool news = list.version != version_;
   version_ = list.version;
   if (list.whole) fetching_ = anew_ = false;
+  owed_by_ = 0, hung_ = false;
   ++counters_.lists;
   // Danger: a service that answers without waiting would be asked without end.
   if (!news && loop_.now() - called_at_ < kPause)
@@ -183,8 +196,18 @@
   spdlog::warn("discovery's answer is lost after {} ms", (loop_.now() - called_at_) / kMs);
   hang_up();
   loop_.cancel(deadline_);
-  out_ = watching_ = fetching_ = false;
+  out_ = false;
   ++counters_.lists_lost;
+  // Danger: what a silent watch or a place left behind has missed counts as told soon, and a host that drains
+  // is still sent to. Until then it is asked for again and again, at once where a watch hung; only then it is
+  // a loss, with growing waits. With chance: all nodes' watches fall silent together.
+  if (loop_.now() < owed_by_) {
+    const bool at_once = std::exchange(hung_now_, false);
+    const auto pause = static_cast<Tenths>(kAgain * (0.5 + chance_.share() / 2));
+    return loop_.at(deadline_, loop_.now() + (at_once ? 0 : pause), [this] { next(); });
+  }
+  owed_by_ = 0;
+  watching_ = fetching_ = false;
   heard_.lost();
 }
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -1,6 +1,7 @@
 // Discovery: one call at a time for the list or for its changes, and the watch kept on as long as it is
-// answered, also over a move to another place. Owns that one connection and the version of the list; never
-// decides when to begin a watch anew: a loss is told and left to the node.
+// answered, also over a move to another place or a silence. Owns that one connection and the version of the
+// list. While what was missed counts as told soon it asks again by itself; any other loss is told, and when
+// to begin a watch anew after one is left to the node.
 #pragma once
 #include <map>
 #include <nlohmann/json_fwd.hpp>
@@ -9,6 +10,7 @@
 #include "base/counters.h"
 #include "base/loop.h"
 #include "base/socket.h"
+#include "chance.h"
 #include "words.h"
 
 namespace dapplewharf {
@@ -39,7 +41,8 @@
     std::function<void(const List&)> listed;
     std::function<void()> lost;
   };
-  Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits, Heard heard);
+  Discovery(Loop& loop, Counters& counters, std::string address, const Limits& limits, std::uint64_t seed,
+            Heard heard);
 
   void knows(std::int64_t version) { version_ = version, anew_ = false; }
   void watch();  // from here on, until it is lost
@@ -50,7 +53,7 @@
   Starts starts;
 
  private:
-  void call(const std::string& target, Tenths patience);
+  void call(const std::string& target, bool waits);
   void next();
   void dial_out();
   void ready();
@@ -63,11 +66,14 @@
   std::string address_;
   const Limits& limits_;
   Heard heard_;
+  Chance chance_;
   std::int64_t version_ = 0;
   bool watching_ = false, fetching_ = false;  // wanted
   bool anew_ = true;                          // nothing is known of this place yet
   bool out_ = false, stale_ = false;          // a call is out; on a connection that served an earlier one
+  bool hung_ = false, hung_now_ = false;      // a watch has, and nothing was heard since; in this very call
   Tenths called_at_ = 0;
+  Tenths owed_by_ = 0;  // when what was missed counts as told; 0: nothing was
   Socket socket_;
   Ticket watched_;
   Loop::Deadline deadline_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -118,7 +118,7 @@
              if (const Held* found = held(at))
                tell(EventKind::load_told, id_of(at), found->host).figure = load;
            }}),
-      discovery_(loop, counters_, configuration_.discovery, limits_,
+      discovery_(loop, counters_, configuration_.discovery, limits_, configuration_.seed,
                  {[this](const List& list) {
                     losses_ = 0;
                     listed(list, list.whole ? EventKind::list_whole : EventKind::list_changes);
