--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -15,7 +15,7 @@
                 bytes_to_clients = 0;
   // how tries ended
   std::uint64_t up = 0, errors = 0, turned_away = 0, unanswered = 0, not_connected = 0, lost = 0, ended = 0,
-                cancelled = 0, not_sent = 0;
+                cancelled = 0, not_sent = 0, withdrawn = 0;
   // answered
   std::uint64_t honoured = 0, rejected = 0, scrapped = 0, moved = 0, left = 0, overdue = 0, no_descriptor = 0;
   // words with other nodes
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -76,6 +76,11 @@
   return std::nullopt;
 }
 
+bool Socket::has_news() const {
+  char byte;
+  return recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 bool Socket::connected() const {
   int fault = 0;
   socklen_t size = sizeof fault;
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -44,6 +44,7 @@
   // Bytes taken or given; 0 for none now; nothing when the connection is broken. `ended`: no more will come.
   std::optional<std::size_t> receive(std::string& to, std::size_t most, bool& ended) const;
   std::optional<std::size_t> send(const char* bytes, std::size_t size) const;
+  bool has_news() const;   // bytes to be read, or its end
   bool connected() const;  // asked once poll says that it is writable
 
   // Whether at most `kept_back` of the process's `limit` descriptors are left. Danger: the number of a new
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -288,7 +288,7 @@
     if (standing && event.outcome == Outcome::lost) shed_at_ = around_.now;
     card_.open = std::max(0, card_.open - 1);
     if (event.outcome == Outcome::honoured || event.outcome == Outcome::cancelled ||
-        event.outcome == Outcome::not_sent)
+        event.outcome == Outcome::not_sent || event.outcome == Outcome::withdrawn)
       return;  // says nothing of the host
     setup_at_ = around_.now;
     result(setups_, false);
@@ -847,6 +847,13 @@
     last.may_have_run = event.outcome != Outcome::turned_away && event.outcome != Outcome::no_connection &&
                         event.outcome != Outcome::not_sent;
     Event told = event;
+    // Danger: a host that leaves while its connection comes up would cost the attachment one of its tries.
+    if (event.outcome == Outcome::withdrawn) {
+      --out_, tell_host(event, last.host);
+      if (held.tries.size() > 1 && !further_.empty()) further_.pop_back();
+      held.tries.pop_back();
+      return held.answered ? void() : seek(held);
+    }
     if (!held.standing) {
       --out_;
       // Danger: a host that takes no connection is down by itself, whatever stands behind the others.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -85,6 +85,7 @@
 
 Outcome outcome_of(TryEnd end) {
   switch (end.cause) {
+    case Cause::withdrawn: return Outcome::withdrawn;
     case Cause::no_descriptor: return Outcome::not_sent;  // says nothing of the host
     case Cause::client:
     case Cause::cancelled:
@@ -110,6 +111,10 @@
           loop, counters_, limits_, grammar_,
           {[this](Ticket at, const Opening& opening) { came(at, opening); }, [this](Ticket at) { left(at); },
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
+           [this](Ticket at) {
+             const Held* found = held(at);
+             return !found || found->handed_over || !leaving_.count(found->host);
+           },
            [this](Ticket at, Tenths delay) {
              const Held* found = held(at);
              if (found && loop_.late() < kHeldUp) meters_[found->host].line_back(loop_.now(), delay);
@@ -265,6 +270,7 @@
     case Outcome::lost: ++counters_.lost; break;
     case Outcome::cancelled: ++counters_.cancelled; break;
     case Outcome::not_sent: ++counters_.not_sent; break;
+    case Outcome::withdrawn: ++counters_.withdrawn, --found->tries; break;  // as if it had never been
   }
   // What a fleet of many nodes did is counted from these lines (tools/count.awk); none while level is info.
   spdlog::debug("host {} ended a {}, outcome {}, after ms {}", found->host, found->up ? "connection" : "try",
@@ -285,6 +291,11 @@
   }
   for (const auto& [host, address] : addresses_)
     if (list.whole && !up.count(host)) gone.insert(host);
+  const bool drain_alone = number(settings_, "drain_binds_alone", 0) != 0;
+  for (const Listing& listing : list.listings)
+    if (listing.state == HostState::draining) leaving_.insert(listing.host);
+    else if (listing.state == HostState::healthy) leaving_.erase(listing.host);
+  if (!drain_alone) leaving_.insert(gone.begin(), gone.end());
   for (const std::string& host : gone) probes_.forget(host), meters_.erase(host), near_.erase(host);
   tell(kind).listings = list.listings;
 }
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -255,9 +255,22 @@
   });
 }
 
+// Danger: a connection comes up long after its host was chosen. Meanwhile the client may have left, the host
+// may have been announced as leaving, or the time may be over, also in this very turn or during a pause of
+// the process; whatever is found here is known not to have run. What has begun is never withdrawn.
+bool Relay::last_look(Ticket ticket) {
+  if (links_.find(ticket)->client.socket.has_news()) client_ready(ticket);
+  Link* link = links_.find(ticket);
+  if (!link || !link->try_out) return false;
+  if (loop_.now() >= link->try_until) return end_try(ticket, *link, Cause::time_out), false;
+  if (!heard_.wanted(ticket)) return end_try(ticket, *link, Cause::withdrawn), false;
+  return true;
+}
+
 bool Relay::deliver(Ticket ticket, Link& link) {
   if (link.reach == Reach::not_connected) {
     if (!link.host.socket.connected()) return end_try(ticket, link, Cause::broken), false;
+    if (!last_look(ticket)) return false;
     link.reach = Reach::partly_written;
     link.host.out = with_wait(link.opening, link.try_until - loop_.now());
     times_out(ticket, link, link.try_until);
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -25,6 +25,7 @@
   bye,
   move,
   client,     // the client went first
+  withdrawn,  // by the last look, before its first byte
   cancelled,  // by this node
 };
 struct TryEnd {
@@ -39,6 +40,7 @@
     std::function<void(Ticket)> client_left;  // before it had its answer
     std::function<void(Ticket)> up;
     std::function<void(Ticket, TryEnd)> over;  // once for each try
+    std::function<bool(Ticket)> wanted;        // whether its try may still begin, as far as the list goes
     std::function<void(Ticket, Tenths)> line_back;
     std::function<void(Ticket, double)> load_told;
   };
@@ -101,6 +103,7 @@
   static std::optional<std::size_t> take(const Side& from, std::string& to, bool& ended);
   void greet(Ticket ticket, Link& link);
   void greeting_ends(Ticket ticket, Link& link, Tenths after);
+  bool last_look(Ticket ticket);            // false when the try is over
   bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
   void await_up(Ticket ticket, Link& link);
   void times_out(Ticket ticket, Link& link, Tenths when);
--- a/src/words.h
+++ b/src/words.h
@@ -27,7 +27,17 @@
 };
 
 // How a setup try or a probe ended.
-enum class Outcome { honoured, error, turned_away, no_answer, no_connection, lost, cancelled, not_sent };
+enum class Outcome {
+  honoured,
+  error,
+  turned_away,
+  no_answer,
+  no_connection,
+  lost,
+  cancelled,
+  not_sent,
+  withdrawn  // before its first byte: its host has been announced as leaving meanwhile
+};
 
 enum class EventKind {
   list_copy,     // the list as this node last held it
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -55,3 +55,108 @@
   EXPECT_TRUE(net.until([&] { return net.answers.empty(); }, kToldAnewMs));
   EXPECT_LT(net.loop.now() - moved, kToldAnewMs * kMs);
 }
+
+namespace {
+
+// Takes no connection until it is let: what is dialled meanwhile comes up late, when its SYN is sent again.
+struct Held {
+  Net& net;
+  std::vector<Socket> fillers;
+  explicit Held(Net& to) : net(to) {
+    listen(net.hosts.number(), 0);
+    for (int i = 0; i < 2; ++i) dial(net.hosts_at, 1024, 0, fillers.emplace_back());
+    net.run(20);
+  }
+  void let() {
+    listen(net.hosts.number(), 16);
+    for (int taken = 0; taken < 2;
+         taken += Socket(accept4(net.hosts.number(), nullptr, nullptr, 0)) ? 1 : 0) {}
+  }
+};
+
+// A client whose try's connection stands, while the node does not know so yet: the next turn serves both.
+struct Standing {
+  int client = 0, host = 0;
+  explicit Standing(Net& net) {
+    // Two places in the loop are given again in the opposite order: the host's comes before the client's.
+    for (const int gone : {net.client(""), net.client("")}) net.reset(gone), net.run(20);
+    Socket socket;
+    EXPECT_EQ(dial(net.front, 1024, 0, socket), Dial::begun);
+    client = net.keep(std::move(socket));
+    const std::string line = opening();
+    Socket taken;
+    for (int i = 0; i < 400 && !taken; ++i) {
+      if (i == 2) net.socket(client).send(line.data(), line.size());
+      net.turn();
+      taken = Socket(accept4(net.hosts.number(), nullptr, nullptr, SOCK_NONBLOCK));
+    }
+    EXPECT_TRUE(taken);
+    host = net.keep(std::move(taken));
+  }
+};
+
+std::string all_of(Net& net, int number) {  // what came until its end
+  std::string bytes;
+  bool end = false;
+  EXPECT_TRUE(net.until([&] { return !net.socket(number).receive(bytes, 65536, end) || end; }));
+  return bytes;
+}
+
+}  // namespace
+
+TEST(Crossings, AHostAnnouncedAsLeavingWhileItsConnectionComesUpIsSentNothing) {
+  for (const char* lifecycle : {"draining", "removed"}) {
+    Socket other;
+    const sockaddr_in there = Net::listening(other);
+    Net net(1024, true, [](Configuration& to) {
+      to.env["bounds"]["dialTimeoutMs"] = 10000;
+      to.env["bounds"]["maxAttempts"] = 1;  // what never began is no try of it
+      to.env["lanes"][0]["semantics"] = "at_most_once";
+      to.env["lanes"][0]["hardLimitMs"] = 9000;
+    });
+    std::string line = opening();
+    line.replace(line.find("d=2000"), 6, "d=9000");
+    Held held(net);
+    const int client = net.client(line);
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const std::string& host : kAll)
+      hosts.push_back(
+          {{"instanceId", host}, {"hostPort", Net::text_of(net.hosts_at)}, {"lifecycle", lifecycle}});
+    hosts.push_back(
+        {{"instanceId", "h9"}, {"hostPort", Net::text_of(there)}, {"zone", "near"}, {"lifecycle", "up"}});
+    net.answers = {
+        Net::http(nlohmann::json({{"generation", 2}, {"reset", false}, {"instances", hosts}}).dump())};
+    EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+    net.run(20);
+    held.let();
+    Socket taken;
+    EXPECT_TRUE(net.until([&] {
+      if (!taken) taken = Socket(accept4(other.number(), nullptr, nullptr, SOCK_NONBLOCK));
+      return static_cast<bool>(taken);
+    })) << "it is placed anew";
+    EXPECT_EQ(all_of(net, net.host_accepts()), "") << lifecycle;
+    const int host = net.keep(std::move(taken));
+    EXPECT_EQ(net.read(host).substr(0, 5), "OPEN ");
+    net.write(host, "UP x\r\n");
+    EXPECT_EQ(net.read(client), "UP x\r\n");
+  }
+}
+
+TEST(Crossings, AClientThatLeavesAsItsTryComesUpIsNotSentOn) {
+  for (const bool by_reset : {true, false}) {
+    Net net;
+    Standing both(net);
+    if (by_reset) net.reset(both.client);
+    else net.finish(both.client);
+    EXPECT_EQ(all_of(net, both.host), "") << (by_reset ? "RST" : "FIN");
+  }
+}
+
+TEST(Crossings, ATryWhoseTimeEndedDuringAPauseIsNotSentOn) {
+  Net net;
+  Standing both(net);
+  timespec pause{2, 100000000};  // longer than its client waits; the process is held up as by a SIGSTOP
+  nanosleep(&pause, nullptr);
+  EXPECT_EQ(all_of(net, both.host), "");
+  EXPECT_EQ(net.read(both.client).substr(0, 4), "BUSY");
+}
