--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -771,6 +771,9 @@
   }
 
   void happened(const Event& event) {
+    // Danger: what would be answered only after this node's end is never answered.
+    if (event.kind == EventKind::stopping && event.expiry > 0)
+      for (auto& [id, held] : held_) held.event.expiry = std::min(held.event.expiry, event.expiry);
     if (event.kind == EventKind::attachment || event.kind == EventKind::handed_over) return arrives(event);
     const auto found = held_.find(event.id);
     if (found == held_.end()) return;
@@ -1035,6 +1038,7 @@
         desk(around) {}
 
   void deliver(const Event& event) {
+    if (event.kind == EventKind::stopping) around.write(Part::desk, Topic::event).event = event;
     if (event.kind <= EventKind::stopping) around.write(Part::roster, Topic::event).event = event;
     else if (event.id.empty() && !event.host.empty())  // of a probe, or a delay where nothing stands
       around.write(Part::host, Topic::event, event.host).event = event;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -217,7 +217,7 @@
   event.key = opening.key;
   if (groups_) event.group = opening.group;
   event.expiry = loop_.now() + opening.wait;
-  if (stopping_) event.expiry = std::min(event.expiry, ends_by() - kLookEvery);  // no answer comes later
+  if (stopping_) event.expiry = std::min(event.expiry, ends_by_ - kLookEvery);  // no answer comes later
   event.repeated = opening.repeated;
   event.returned = opening.returned;
   if (!opening.at.empty()) {
@@ -415,7 +415,12 @@
   if (stopping_) return;
   stopping_ = true;
   stopped_at_ = loop_.now();
-  tell(EventKind::stopping);
+  // Settled here: a SIGHUP on the way changes no more of it. Settings that name no expiry leave the longest.
+  const auto expiry = static_cast<Tenths>(extreme(settings_, "traffic.", ".expiry", 1, kLongestWait));
+  ends_by_ = stopped_at_ + std::min(expiry, kLongestWait) + kBeforeKill;
+  tell(EventKind::stopping).expiry = ends_by_ - kLookEvery;
+  relay_.hurry(ends_by_ - kLookEvery);
+  loop_.at(close_up_, ends_by_ - kLookEvery / 2, [this] { close_up(); });
   spdlog::info("stopping, connections open {}", relay_.open());
 }
 
@@ -448,13 +453,21 @@
 // Danger: what is still held when the process is killed is lost; it ends by itself before that.
 bool Node::done() {
   if (!stopping_) return false;
-  if (loop_.now() >= ends_by()) return true;
-  return loop_.now() - stopped_at_ >= kStillComing && held_.empty() && relay_.busy() == 0;
+  if (loop_.now() >= ends_by_) return true;
+  if (loop_.now() - stopped_at_ < kStillComing || !held_.empty() || relay_.busy() > 0) return false;
+  // Danger: what the kernel has accepted is taken, whether or not this process has seen it.
+  return !relay_.accepts_more();
 }
 
-Tenths Node::ends_by() const {
-  const auto expiry = static_cast<Tenths>(extreme(settings_, "traffic.", ".expiry", 1, 0));
-  return stopped_at_ + std::min(expiry, kLongestWait) + kBeforeKill;
+void Node::close_up() {
+  std::vector<std::string> left;
+  for (const auto& [id, one] : held_)
+    if (!one.over) left.push_back(id);
+  for (const std::string& id : left) {
+    const bool up = held_.at(id).up;
+    spdlog::warn("{} at the node's end", up ? "a connection is moved" : "an attachment is scrapped");
+    act({up ? ActionKind::move : ActionKind::scrap, id, "", "", 0, 0});
+  }
 }
 
 void Node::report() const {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -77,7 +77,7 @@
   void subscribe();
   void watch_shadow(const std::vector<Event>& events, const std::vector<Action>& actions);
   void take_settings();                                // what the configuration in force says, for all parts
-  Tenths ends_by() const;                              // once it is stopping, at the latest
+  void close_up();                                     // nothing that is held outlives the process unanswered
   std::string address(const std::string& host) const;  // as discovery last told it; empty where it did not
   Event& tell(EventKind kind, const std::string& id = "", const std::string& host = "");
   Held* held(Ticket ticket);
@@ -89,7 +89,7 @@
   Limits limits_;
   Grammar grammar_;
   bool groups_ = false, stopping_ = false;
-  Tenths stopped_at_ = 0, shortest_goal_ = 0, looked_at_ = 0;
+  Tenths stopped_at_ = 0, ends_by_ = 0, shortest_goal_ = 0, looked_at_ = 0;
   int losses_ = 0;
   Choice choice_;
   std::unique_ptr<Shadow> shadow_;  // only while the mode is on
@@ -104,7 +104,7 @@
   std::set<std::string> leaving_;  // hosts announced as leaving: no try's first byte goes there
   std::map<std::string, Meter> meters_;
   std::map<std::string, double> near_;  // the hosts of its own zone, and their sizes
-  Loop::Deadline look_, again_;
+  Loop::Deadline look_, again_, close_up_;
 };
 
 }  // namespace dapplewharf
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -470,10 +470,25 @@
 
 std::size_t Relay::busy() {
   std::size_t count = 0;
-  links_.each([&](Ticket, const Link& link) { count += link.phase != Phase::greeting ? 1 : 0; });
+  links_.each(
+      [&](Ticket, const Link& link) { count += link.phase != Phase::greeting || !link.early.empty(); });
   return count;
 }
 
+bool Relay::accepts_more() {
+  const auto before = counters_.accepted;
+  accept_all();
+  return counters_.accepted != before;
+}
+
+void Relay::hurry(Tenths until) {
+  links_.each([&](Ticket ticket, Link& link) {
+    if (!link.try_out || link.phase != Phase::waiting || link.try_until <= until) return;
+    link.try_until = until;
+    times_out(ticket, link, std::min(link.deadline.when, until));
+  });
+}
+
 void Relay::move(Ticket ticket) {
   Link* link = links_.find(ticket);
   if (link && link->phase == Phase::waiting) {  // it stood before this node started and is not up again yet
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -53,7 +53,9 @@
   void answer(Ticket ticket, const std::string& line);  // the final one; nothing follows it
   void move(Ticket ticket);
   std::size_t open() const { return links_.size(); }
-  std::size_t busy();  // those of clients that have said what they want
+  std::size_t busy();        // those of clients that have said what they want, or begun to
+  bool accepts_more();       // takes in who waits at the door; whether there was anybody
+  void hurry(Tenths until);  // tries that are out last no longer
   // How long each standing connection's client has waited for a line; 0: it does not.
   template <class Visit>
   void each_standing(Visit visit) {
--- a/src/words.h
+++ b/src/words.h
@@ -64,7 +64,7 @@
   std::string host;                        // host
   std::string traffic_type, tenant;        // of an attachment
   std::optional<std::int64_t> key, group;  // the client key; the group that shares work
-  Tenths expiry = 0;                       // when the client gives up
+  Tenths expiry = 0;                       // when the client gives up; of stopping: when all are answered
   bool mid_flow = false, returned = false, repeated = false;
   int number = 0;  // of the setup try, or of the alarm
   Outcome outcome = Outcome::honoured;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -160,3 +160,62 @@
   EXPECT_EQ(all_of(net, both.host), "");
   EXPECT_EQ(net.read(both.client).substr(0, 4), "BUSY");
 }
+
+namespace {
+
+// What a client has when the process is gone: nothing turns any more.
+std::string after_the_end(Net& net, int client) {
+  EXPECT_TRUE(net.until([&] { return net.node->done(); }, 5000));
+  net.node.reset();
+  std::string bytes;
+  bool end = false;
+  while (net.socket(client).receive(bytes, 65536, end).value_or(0) > 0) {}
+  return bytes;
+}
+
+}  // namespace
+
+TEST(Crossings, WhatWaitsLongerThanAStopLastsIsAnsweredBeforeItsEnd) {
+  for (const char* effect : {"at_most_once", "idempotent"}) {
+    Net net(1024, true, [&](Configuration& to) {
+      to.env["lanes"][0]["hardLimitMs"] = 9000;
+      to.env["lanes"][0]["semantics"] = effect;
+      to.env["bounds"]["maxAttempts"] = 1;
+    });
+    std::string line = opening();
+    line.replace(line.find("d=2000"), 6, "d=9000");
+    const int client = net.client(line), host = net.host_accepts();
+    EXPECT_EQ(net.read(host).substr(0, 5), "OPEN ");  // and it never answers
+    net.node->stop();
+    const std::string last = after_the_end(net, client);
+    EXPECT_EQ(last.substr(0, 4), effect == std::string("idempotent") ? "BUSY" : "ERR\r") << effect;
+  }
+}
+
+TEST(Crossings, ALineThatComesInPiecesAcrossAStopIsAnswered) {
+  Net net;
+  const std::string line = opening();
+  const int client = net.client(line.substr(0, 9));
+  net.node->stop();
+  net.run(1300);
+  EXPECT_FALSE(net.node->done()) << "half a line is one that comes";
+  net.write(client, line.substr(9));
+  net.write(net.host_accepts(), "UP x\r\n");
+  EXPECT_EQ(net.read(client, 12, 2000), "UP x\r\nMOVE\r\n");
+}
+
+TEST(Crossings, WhoTheKernelAcceptedAsTheNodeWasAboutToEndIsAnswered) {
+  Net net;
+  net.node->stop();
+  net.run(1100);
+  Socket socket;
+  EXPECT_EQ(dial(net.front, 1024, 0, socket), Dial::begun);
+  const std::string line = opening();
+  EXPECT_TRUE(socket.send(line.data(), line.size()));  // loopback: it is written to what the kernel accepted
+  EXPECT_FALSE(net.node->done());
+  const int client = net.keep(std::move(socket));
+  net.write(net.host_accepts(), "UP x\r\n");
+  EXPECT_EQ(net.read(client, 12, 2000), "UP x\r\nMOVE\r\n");
+  net.finish(client);
+  EXPECT_TRUE(net.until([&] { return net.node->done(); }, 2000));
+}
