--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -459,7 +459,10 @@
       ++losses_, subscribed_ = false;
       if (lost_at_ == 0) lost_at_ = around_.now;
       const double wait = std::min(500.0 * (1 << std::min(losses_, 4)), 4000.0) * kMs;
-      ask_at_ = around_.now + static_cast<Tenths>((wait + spread()) * (0.5 + around_.chance.share() / 2));
+      // Danger: where little time is allowed for asking, the wait after losses alone is longer than that.
+      const double most = around_.rules.ask_within > 0 ? kAskLatest * around_.rules.ask_within : kNever;
+      ask_at_ = around_.now +
+                static_cast<Tenths>(std::min(wait + spread(), most) * (0.5 + around_.chance.share() / 2));
       return;
     }
     if (event.kind != EventKind::list_copy) losses_ = 0, lost_at_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,6 +27,7 @@
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr double kHeldStep = 0.5;     // connections: less is no news
 constexpr Tenths kHandOverTime = 10 * kSecond;
+constexpr Tenths kLeastWait = 50 * kMs;  // between two calls of a list service that fails
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
 
@@ -141,7 +142,8 @@
                 if (probed.answer_after > 0 && loop_.late() < kHeldUp)
                   meters_[host].probed(loop_.now(), probed.answer_after);
               }),
-      peers_(loop, counters_, configuration_.peers, configuration_.seed) {
+      peers_(loop, counters_, configuration_.peers, configuration_.seed),
+      chance_(hash(configuration_.seed)) {
   if (configuration_.shadow)
     shadow_ = std::make_unique<Shadow>(settings_of(*configuration_.shadow), configuration_.seed, loop.now());
   take_settings();
@@ -186,8 +188,15 @@
 // Where changes come unasked the module never asks; the node keeps the watch up, with growing waits.
 void Node::subscribe() {
   if (text(settings_, "discovery") == "on_request") return;
-  const Tenths wait = losses_ == 0 ? 0 : std::min<Tenths>(2500 << std::min(losses_, 5), 4 * kSecond);
-  loop_.at(again_, loop_.now() + wait, [this] { discovery_.watch(); });
+  // Danger: what the service has counts as told from the moment it is back, and hosts that drain are sent to
+  // until the node has asked. No wait is longer than half of the grace; chance keeps nodes from asking in
+  // step.
+  const auto grace = static_cast<Tenths>(number(settings_, "drain_grace", 0));
+  const Tenths wait =
+      losses_ == 0 ? 0 : std::min<Tenths>({2500 << std::min(losses_, 5), 4 * kSecond, grace / 2});
+  const auto soon = static_cast<Tenths>(static_cast<double>(wait) * (0.5 + chance_.share() / 2));
+  loop_.at(again_, loop_.now() + std::max<Tenths>(soon, losses_ == 0 ? 0 : kLeastWait),
+           [this] { discovery_.watch(); });
 }
 
 std::string Node::address(const std::string& host) const {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -97,6 +97,7 @@
   Discovery discovery_;
   Probes probes_;
   Peers peers_;
+  Chance chance_;
   std::map<std::string, double> elsewhere_;  // as last told to the module
   std::vector<Event> events_;
   std::unordered_map<std::string, Held> held_;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -219,3 +219,17 @@
   net.finish(client);
   EXPECT_TRUE(net.until([&] { return net.node->done(); }, 2000));
 }
+
+TEST(Crossings, AListServiceThatIsBackAfterALongTimeIsAskedWithinTheGrace) {
+  Net net(1024, true, [](Configuration& to) { to.env["discovery"] = "pushed"; });
+  EXPECT_TRUE(net.until([&] { return asks(net); }));
+  const sockaddr_in there = net.discovery_at;
+  net.discovery.close();
+  net.call.close(), net.asked.clear();
+  net.run(4000);  // the waits between calls have grown
+  EXPECT_FALSE(listen_at(there, net.discovery));
+  const Tenths back = net.loop.now();
+  net.answers = {list(net, 2, kAll, "draining")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+  EXPECT_LT(net.loop.now() - back, 1000 * kMs) << "the grace in the settings";
+}
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -1033,3 +1033,26 @@
     fake.pass(2 * kSecond);
   }
 }
+
+TEST(List, WithLittleTimeForAskingAnInquiryThatFailedIsMadeAgainWithinIt) {
+  Fake fake;
+  fake.settings["discovery"] = "on_request";
+  fake.settings["ask_within"] = 8000.0;
+  fake.start(4);
+  for (int lost = 0; lost < 6; ++lost) {
+    Event event;
+    event.kind = EventKind::list_lost;
+    fake.tell(event);
+    const Tenths lost_at = fake.now;
+    bool asked = false;
+    for (int i = 0; i < 80 && !asked; ++i) {
+      fake.now += 500;
+      Event alarm;
+      alarm.number = 1;
+      fake.tell(alarm);
+      asked = fake.said(ActionKind::subscribe);
+    }
+    ASSERT_TRUE(asked) << lost;
+    EXPECT_LE(fake.now - lost_at, 8000) << lost;
+  }
+}
