--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -176,6 +176,9 @@
   loop_.cancel(deadline_);
   if (closes) hang_up();
   const bool news = list.version != version_;
+  // Danger: a service that counts anew tells changes since its own beginning only; what came before is
+  // missed.
+  if (!list.whole && list.version < version_) anew_ = true;
   version_ = list.version;
   if (list.whole) fetching_ = anew_ = false;
   owed_by_ = 0, hung_ = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -114,7 +114,10 @@
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
            [this](Ticket at) {
              const Held* found = held(at);
-             return !found || found->handed_over || !leaving_.count(found->host);
+             if (!found || found->handed_over) return true;
+             const auto leaves = leaving_.find(found->host);
+             const bool drain_alone = number(settings_, "drain_binds_alone", 0) != 0;
+             return leaves == leaving_.end() || (drain_alone && leaves->second == HostState::gone);
            },
            [this](Ticket at, Tenths delay) {
              const Held* found = held(at);
@@ -300,11 +303,11 @@
   }
   for (const auto& [host, address] : addresses_)
     if (list.whole && !up.count(host)) gone.insert(host);
-  const bool drain_alone = number(settings_, "drain_binds_alone", 0) != 0;
   for (const Listing& listing : list.listings)
-    if (listing.state == HostState::draining) leaving_.insert(listing.host);
+    if (listing.state == HostState::draining) leaving_[listing.host] = listing.state;
     else if (listing.state == HostState::healthy) leaving_.erase(listing.host);
-  if (!drain_alone) leaving_.insert(gone.begin(), gone.end());
+  for (const std::string& host : gone)
+    leaving_.try_emplace(host, HostState::gone);  // a drain goes on binding
   for (const std::string& host : gone) probes_.forget(host), meters_.erase(host), near_.erase(host);
   tell(kind).listings = list.listings;
 }
@@ -447,6 +450,7 @@
     ++counters_.reloads_refused;
     return spdlog::warn("configuration not taken, the old one goes on: {}", fault);
   }
+  if (read.taken->env.value("zone", "") != configuration_.env.value("zone", "")) near_.clear();
   configuration_ = *read.taken;
   configuration_.descriptors = descriptor_limit(configuration_.descriptors);
   settings_ = settings_of(configuration_.env);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,7 +3,6 @@
 // further try, a rejection or a move.
 #pragma once
 #include <deque>
-#include <set>
 #include <unordered_map>
 
 #include "base/counters.h"
@@ -102,7 +101,7 @@
   std::vector<Event> events_;
   std::unordered_map<std::string, Held> held_;
   std::map<std::string, std::string> addresses_;
-  std::set<std::string> leaving_;  // hosts announced as leaving: no try's first byte goes there
+  std::map<std::string, HostState> leaving_;  // hosts announced as leaving: no try's first byte goes there
   std::map<std::string, Meter> meters_;
   std::map<std::string, double> near_;  // the hosts of its own zone, and their sizes
   Loop::Deadline look_, again_, close_up_;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -48,8 +48,9 @@
       return;
     }
     if (size == 0) {
-      while (line_of(rest, line))
-        if (line.empty()) answer.state = Answer::State::done;
+      while (line_of(rest, line) && !line.empty()) {}
+      if (line.empty() && line.data()) answer.state = Answer::State::done;
+      answer.closes = answer.closes || !rest.empty();
       return;
     }
     if (rest.size() < size + 1) return;
@@ -93,6 +94,8 @@
   if (chunked) pieces_of(rest, answer);
   else if (sized ? rest.size() >= size : ended) {
     answer.body = sized ? rest.substr(0, size) : rest;
+    // Danger: what stands behind an answer would be read as that to the next call.
+    answer.closes = answer.closes || rest.size() > answer.body.size();
     answer.state = Answer::State::done;
   }
   if (!chunked && !sized) answer.closes = true;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -10,7 +10,7 @@
   enum class State { more, done, bad };
   State state = State::more;
   int status = 0;
-  bool closes = false;  // the connection ends with this answer
+  bool closes = false;  // the connection ends with this answer, or is out of step behind it
   std::string body;
 };
 
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -61,16 +61,17 @@
 // Takes no connection until it is let: what is dialled meanwhile comes up late, when its SYN is sent again.
 struct Held {
   Net& net;
-  std::vector<Socket> fillers;
+  Socket filler;  // one that waits to be accepted fills a backlog of none
   explicit Held(Net& to) : net(to) {
     listen(net.hosts.number(), 0);
-    for (int i = 0; i < 2; ++i) dial(net.hosts_at, 1024, 0, fillers.emplace_back());
-    net.run(20);
+    EXPECT_EQ(dial(net.hosts_at, 1024, 0, filler), Dial::begun);
+    pollfd stands{filler.number(), POLLOUT, 0};
+    EXPECT_EQ(poll(&stands, 1, 5000), 1);
   }
   void let() {
     listen(net.hosts.number(), 16);
-    for (int taken = 0; taken < 2;
-         taken += Socket(accept4(net.hosts.number(), nullptr, nullptr, 0)) ? 1 : 0) {}
+    Socket taken(accept4(net.hosts.number(), nullptr, nullptr, 0));
+    EXPECT_TRUE(taken);
   }
 };
 
@@ -233,3 +234,54 @@
   EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
   EXPECT_LT(net.loop.now() - back, 1000 * kMs) << "the grace in the settings";
 }
+
+TEST(Crossings, AServiceThatCountsAnewIsAskedForTheWholeList) {
+  Net net;
+  net.answers = {Net::http(R"({"generation":9,"reset":false,"instances":[]})"),
+                 Net::http(R"({"generation":3,"reset":false,"instances":[]})")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+  EXPECT_TRUE(net.until([&] { return asks(net); }));
+  EXPECT_EQ(net.asked.substr(0, 18), "GET /api/targets H") << "what it told before it began anew is unknown";
+}
+
+TEST(Crossings, WhatStandsBehindAnAnswerIsNotTheAnswerToTheNextCall) {
+  const std::string second = R"({"generation":3,"reset":true,"instances":[]})";
+  for (const std::string& behind :
+       {Net::http(second),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2c\r\n" + second + "\r\n0\r\n\r\n"}) {
+    Net net;
+    EXPECT_TRUE(net.until([&] { return asks(net); }));
+    net.answers = {list(net, 2, kAll, "up") + behind};
+    EXPECT_TRUE(net.until([&] { return net.calls == 2 && asks(net); }, 2000)) << "out of step, dialled anew";
+    EXPECT_NE(net.asked.find("after=2&"), std::string::npos) << net.asked;
+    const int client = net.client(opening()), host = net.host_accepts();
+    net.write(host, "UP x\r\n");
+    EXPECT_EQ(net.read(client), "UP x\r\n") << "the second list, of no hosts, was never asked for";
+  }
+}
+
+TEST(Crossings, WhereOnlyDrainsBindAHostCalledGoneIsStillSentTo) {
+  Net net(1024, true, [](Configuration& to) {
+    to.env["guarantees"]["drainBindsAlone"] = true;
+    to.env["bounds"]["probes"] = true;
+  });
+  net.answers = {Net::http(R"({"generation":2,"reset":true,"instances":[]})")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+  const int client = net.client(opening());
+  std::string up;
+  EXPECT_TRUE(net.until([&] {  // probes and tries come to one listener
+    Socket taken(accept4(net.hosts.number(), nullptr, nullptr, SOCK_NONBLOCK));
+    if (taken) net.keep(std::move(taken));
+    for (Socket& one : net.made) {
+      std::string line;
+      bool end = false;
+      if (!one || one.number() == client) continue;
+      one.receive(line, 4096, end);
+      if (line.starts_with("PING")) one.send("PONG\r\n", 6);
+      if (line.starts_with("OPEN")) one.send("UP x\r\n", 6);
+    }
+    bool end = false;
+    net.socket(client).receive(up, 4096, end);
+    return up == "UP x\r\n";
+  })) << up;
+}
