--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -450,10 +450,11 @@
     ++counters_.reloads_refused;
     return spdlog::warn("configuration not taken, the old one goes on: {}", fault);
   }
-  if (read.taken->env.value("zone", "") != configuration_.env.value("zone", "")) near_.clear();
   configuration_ = *read.taken;
   configuration_.descriptors = descriptor_limit(configuration_.descriptors);
+  const std::string zone = text(settings_, "zone");
   settings_ = settings_of(configuration_.env);
+  if (text(settings_, "zone") != zone) near_.clear();  // the list of the new place fills it
   choice_.adopt(settings_);
   if (!configuration_.shadow) shadow_.reset();
   if (shadow_) shadow_->adopt(settings_of(*configuration_.shadow));
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <stdexcept>
 
 using nlohmann::json;
 
@@ -57,6 +59,15 @@
 const Name kTenantNames[] = {
     {"/name", "name", false}, {"/portion", "share", false}, {"/quotaPerS", "quota", false}};
 
+// Danger: a setting of another kind than it has would be passed over, and a rule go by its default.
+void holds(const char* wire, const char* name, const json& value) {
+  const bool word =
+      std::set<std::string>{"zone", "discovery", "weights", "name", "effect", "repeat_group"}.count(name);
+  if (value.is_null() || (word ? value.is_string() : value.is_number() || value.is_boolean())) return;
+  throw std::runtime_error("the setting '" + std::string(wire) + "' is " + value.dump() + "; expected " +
+                           (word ? "a word" : "a number, true or false"));
+}
+
 void put(Settings& to, const std::string& name, const json& value, bool is_time) {
   if (value.is_boolean()) to[name] = value.get<bool>() ? 1.0 : 0.0;
   if (value.is_number())
@@ -71,7 +82,9 @@
 void put_all(Settings& to, const std::string& prefix, const json& from, const Name (&names)[N]) {
   for (const Name& name : names) {
     const json::json_pointer at(name.wire);
-    if (from.contains(at)) put(to, prefix + name.ours, from.at(at), name.is_time);
+    if (!from.contains(at)) continue;
+    holds(name.wire, name.ours, from.at(at));
+    put(to, prefix + name.ours, from.at(at), name.is_time);
   }
 }
 
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -414,6 +414,16 @@
   std::string flag = sound;
   flag.insert(flag.find("\"coldFrom\""), "\n\"drainBindsAlone\":1,");
   EXPECT_EQ(reads(flag).fault, std::string(path) + ":2:1: 'drainBindsAlone' is 1; expected true or false");
+  for (const auto& [from, to, named] :
+       {std::tuple("\"hardLimitMs\":2000", "\"hardLimitMs\":\"2000\"", "hardLimitMs"),
+        std::tuple("\"maxAttempts\":4", "\"maxAttempts\":[4]", "maxAttempts"),
+        std::tuple("\"semantics\":\"idempotent\"", "\"semantics\":true", "semantics"),
+        std::tuple("\"zone\":\"near\"", "\"zone\":7", "zone")}) {
+    std::string odd = sound;
+    ASSERT_NE(odd.find(from), std::string::npos) << from;
+    EXPECT_NE(reads(odd.replace(odd.find(from), std::string(from).size(), to)).fault.find(named),
+              std::string::npos);
+  }
   for (const std::string& bad : {std::string(), std::string("[]"), sound.substr(0, sound.size() / 2),
                                  std::string(R"({"name":"n0"})"), std::string(R"({"name":7,"listen":[]})")})
     EXPECT_FALSE(reads(bad).fault.empty()) << bad;
