--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -304,8 +304,10 @@
   for (const auto& [host, address] : addresses_)
     if (list.whole && !up.count(host)) gone.insert(host);
   for (const Listing& listing : list.listings)
-    if (listing.state == HostState::draining) leaving_[listing.host] = listing.state;
-    else if (listing.state == HostState::healthy) leaving_.erase(listing.host);
+    if (listing.state == HostState::draining) {
+      leaving_[listing.host] = listing.state;
+      probes_.forget(listing.host);  // danger: one whose connection comes up late would be new work as well
+    } else if (listing.state == HostState::healthy) leaving_.erase(listing.host);
   for (const std::string& host : gone)
     leaving_.try_emplace(host, HostState::gone);  // a drain goes on binding
   for (const std::string& host : gone) probes_.forget(host), meters_.erase(host), near_.erase(host);
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -285,3 +285,27 @@
     return up == "UP x\r\n";
   })) << up;
 }
+
+TEST(Crossings, AProbeWhoseConnectionComesUpAfterItsHostDrainsIsNotSent) {
+  Net net(1024, true, [](Configuration& to) {
+    to.env["bounds"]["probes"] = true;
+    to.env["bounds"]["dialTimeoutMs"] = 10000;
+  });
+  Held held(net);
+  net.run(2500);  // all four are due by then, and held
+  net.answers = {list(net, 2, kAll, "draining")};
+  EXPECT_TRUE(net.until([&] { return net.answers.empty(); }));
+  net.run(20);
+  held.let();
+  std::string sent;
+  net.until(
+      [&] {
+        Socket taken(accept4(net.hosts.number(), nullptr, nullptr, SOCK_NONBLOCK));
+        if (taken) net.keep(std::move(taken));
+        bool end = false;
+        for (Socket& one : net.made) one.receive(sent, 4096, end);
+        return !sent.empty();
+      },
+      4500);  // the next SYN of one that is still dialled comes within that
+  EXPECT_EQ(sent, "");
+}
