--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -550,11 +550,14 @@
   Fleet figures() {
     Fleet fleet;
     std::map<std::string, std::pair<double, double>> kinds;  // open connections and size, of warm hosts
-    double scores = 0, open = 0, size = 0, all_open = 0, all_size = 0, roomy = 0;
+    double scores = 0, open = 0, size = 0, all_open = 0, leaving = 0, all_size = 0, roomy = 0;
     double near_open = 0, near_size = 0, near_held = 0, near_told = 0, told = 0, told_size = 0;
     int hosts = 0, bad = 0;
     for (const auto& [id, card] : cards_) {
-      if (!card.healthy) continue;
+      if (!card.healthy) {
+        leaving += card.open;
+        continue;
+      }
       ++hosts, scores += card.score;
       if (card.cold > around_.now) fleet.some_cold = true;
       if (degraded(card)) ++bad;
@@ -577,7 +580,8 @@
     if (near_told > 0) fleet.held = near_held / near_told;
     if (all_size > 0) fleet.granted = around_.rules.granted / all_size;
     const double room = all_size > 0 ? std::max(roomy / all_size, kLeastRoom) : 0;
-    fleet.spare = static_cast<int>(std::ceil(kSpareShare * all_open * room));
+    // Danger: a node all of whose connections stand at hosts that leave finds no room by what others hold.
+    fleet.spare = static_cast<int>(std::ceil(kSpareShare * std::max(all_open, leaving) * room));
     if (hosts > 0) fleet.score = scores / hosts;
     if (hosts > 0) fleet.each = std::max(all_open / hosts, kOverBy / around_.rules.nodes);
     if (told_size > 0) fleet.load = told / told_size;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -480,7 +480,7 @@
   for (const auto& [id, one] : held_)
     if (!one.over) left.push_back(id);
   for (const std::string& id : left) {
-    const bool up = held_.at(id).up;
+    const bool up = held_.at(id).up || held_.at(id).handed_over;
     spdlog::warn("{} at the node's end", up ? "a connection is moved" : "an attachment is scrapped");
     act({up ? ActionKind::move : ActionKind::scrap, id, "", "", 0, 0});
   }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -309,3 +309,25 @@
       4500);  // the next SYN of one that is still dialled comes within that
   EXPECT_EQ(sent, "");
 }
+
+TEST(Crossings, AHandOverThatIsOutIsCrossedByAStopAnEndOrADrain) {
+  for (const char* crossing : {"stop", "end", "drain", "drain once up"}) {
+    SCOPED_TRACE(crossing);
+    const std::string what = crossing;
+    Net net;
+    const int client = net.client("OPEN 1 2 c=plain,t=x,d=4294967,at=h2\r\n"), host = net.host_accepts();
+    EXPECT_EQ(net.read(host).substr(0, 5), "OPEN ");
+    if (what == "drain once up") {
+      net.write(host, "UP x\r\n");
+      EXPECT_EQ(net.read(client), "UP x\r\n");
+    }
+    if (what == "end") net.reset(client);
+    else if (what == "stop") net.node->stop();
+    else
+      net.answers = {
+          Net::http(R"({"generation":2,"reset":false,"instances":[{"instanceId":"h2","hostPort":")" +
+                    Net::text_of(net.hosts_at) + R"(","zone":"near","lifecycle":"draining"}]})")};
+    if (what != "end") { EXPECT_EQ(net.read(client, 6, 9000), "MOVE\r\n"); }
+    EXPECT_TRUE(net.ended(host));
+  }
+}
