--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -331,3 +331,63 @@
     EXPECT_TRUE(net.ended(host));
   }
 }
+
+// Event A by event B, in both orders, in one turn and with a turn between, while an unrepeatable try is out.
+// Cells that cannot happen: a host says nothing after its reset, a client's two ends are one, a host turns
+// away once.
+TEST(Crossings, EachEventByEachOtherInBothOrders) {
+  const std::vector<std::string> events = {"client FIN", "client RST", "UP",     "BUSY",
+                                           "host RST",   "drains",     "SIGTERM"};
+  const auto has = [](const std::string& word, const char* part) {
+    return word.find(part) != std::string::npos;
+  };
+  int played = 0;
+  for (const std::string& a : events)
+    for (const std::string& b : events)
+      for (const bool turn_between : {false, true}) {
+        const bool two_ends = has(a, "client") && has(b, "client"),
+                   after_reset = a == "host RST" && (b == "UP" || b == "BUSY");
+        const bool two_answers = (a == "UP" || a == "BUSY") && (b == "UP" || b == "BUSY");
+        if (a == b || two_ends || after_reset || two_answers) continue;
+        SCOPED_TRACE(a + (turn_between ? ", a turn, " : ", ") + b);
+        ++played;
+        Net net(1024, true, [](Configuration& to) { to.env["lanes"][0]["semantics"] = "at_most_once"; });
+        std::string line = opening();
+        line.replace(line.find("d=2000"), 6, "d=250");
+        const int client = net.client(line), host = net.host_accepts();
+        EXPECT_EQ(net.read(host).substr(0, 5), "OPEN ");
+        const auto happens = [&](const std::string& what) {
+          if (what == "client FIN") net.finish(client);
+          if (what == "client RST") net.reset(client);
+          if (what == "UP" || what == "BUSY") net.socket(host).send((what + "\r\n").data(), what.size() + 2);
+          if (what == "host RST") net.reset(host);
+          if (what == "drains")
+            net.answers = {list(net, 2, kAll, "draining")}, net.turn();  // it goes out with a turn
+          if (what == "SIGTERM") net.node->stop();
+        };
+        happens(a);
+        if (turn_between) net.turn();
+        happens(b);
+        const bool gone = has(a, "client") || has(b, "client");
+        std::string got;
+        bool end = false;
+        int further = 0;
+        net.until([&] {
+          Socket taken(accept4(net.hosts.number(), nullptr, nullptr, SOCK_NONBLOCK));
+          if (taken) ++further, taken.send("BUSY\r\n", 6), net.keep(std::move(taken));
+          return a == "client RST" || b == "client RST" || !net.socket(client).receive(got, 4096, end) ||
+                 end || got.find('\n') != std::string::npos;
+        });
+        net.run(30);
+        const bool up = a == "UP" || b == "UP", busy = a == "BUSY" || b == "BUSY";
+        if (!busy) { EXPECT_EQ(further, 0) << "what may have run is tried once"; }
+        if (!gone && up) { EXPECT_EQ(got.substr(0, 4), "UP\r\n"); }
+        if (!gone && busy) { EXPECT_EQ(got.substr(0, 4), "BUSY"); }
+        if (!gone && !up && !busy) { EXPECT_EQ(got, "ERR\r\n") << "it may have run"; }
+        EXPECT_LE(std::count(got.begin(), got.end(), '\n'), up ? 2 : 1) << got;  // UP, and MOVE behind it
+        if (gone && a != "host RST" && b != "host RST") {
+          EXPECT_TRUE(net.ended(host)) << "its host hears of the end";
+        }
+      }
+  EXPECT_EQ(played, 72);
+}
