--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -116,8 +116,7 @@
              const Held* found = held(at);
              if (!found || found->handed_over) return true;
              const auto leaves = leaving_.find(found->host);
-             const bool drain_alone = number(settings_, "drain_binds_alone", 0) != 0;
-             return leaves == leaving_.end() || (drain_alone && leaves->second == HostState::gone);
+             return leaves == leaving_.end() || (drain_alone_ && leaves->second == HostState::gone);
            },
            [this](Ticket at, Tenths delay) {
              const Held* found = held(at);
@@ -155,6 +154,7 @@
 void Node::take_settings() {
   const nlohmann::json::json_pointer groups("/extra/groups");
   groups_ = configuration_.env.contains(groups) && configuration_.env.at(groups) == true;
+  drain_alone_ = number(settings_, "drain_binds_alone", 0) != 0;
   shortest_goal_ = static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0));
   limits_.connect_time = static_cast<Tenths>(number(settings_, "connect_time", kSecond));
   limits_.descriptors = configuration_.descriptors;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -87,7 +87,7 @@
   Settings settings_;
   Limits limits_;
   Grammar grammar_;
-  bool groups_ = false, stopping_ = false;
+  bool groups_ = false, drain_alone_ = false, stopping_ = false;
   Tenths stopped_at_ = 0, ends_by_ = 0, shortest_goal_ = 0, looked_at_ = 0;
   int losses_ = 0;
   Choice choice_;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -61,8 +61,9 @@
 
 // Danger: a setting of another kind than it has would be passed over, and a rule go by its default.
 void holds(const char* wire, const char* name, const json& value) {
-  const bool word =
-      std::set<std::string>{"zone", "discovery", "weights", "name", "effect", "repeat_group"}.count(name);
+  static const std::set<std::string> words = {"zone", "discovery", "weights",
+                                              "name", "effect",    "repeat_group"};
+  const bool word = words.count(name) != 0;
   if (value.is_null() || (word ? value.is_string() : value.is_number() || value.is_boolean())) return;
   throw std::runtime_error("the setting '" + std::string(wire) + "' is " + value.dump() + "; expected " +
                            (word ? "a word" : "a number, true or false"));
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -49,7 +49,7 @@
     }
     if (size == 0) {
       while (line_of(rest, line) && !line.empty()) {}
-      if (line.empty() && line.data()) answer.state = Answer::State::done;
+      if (line.empty()) answer.state = Answer::State::done;
       answer.closes = answer.closes || !rest.empty();
       return;
     }
