Where no load is reported all nodes gather a group on the same hosts, not each zone's apart

Logs at level debug of a trial: 4,550 connections of 394 groups stood at 450 (host, group) pairs in the first second and at 2,243 at second 25: each pair costs a host the group's work again. Hosts held up to 185 connections beside some with 20, none was seen late (no probes in time, lines come back at once), so nothing was moved.

At fault: Ring::rank gathers a group over zones in a crowd or from a reported load of 0.3 on. Where hosts report none the load is -1, taken for room, so each zone's nodes gather the group on hosts of their own, at any time.

Change: where the settings name no load report and crossing is not dear, groups gather over zones at any time. The story fails without it (0 of 10 groups met).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -717,10 +717,12 @@
   int rank(const Note& seek, const std::string& id, const Card& card) const {
     // Danger: each zone's nodes gather a group on hosts of their own, and each pays more than its connections
     // weigh. While room counts the ring is the same for all; where crossing is dear only when it is short.
+    // Where hosts report no load nobody sees room run out, and scattered groups are not brought together
+    // again.
     const bool crowd = seek.fleet.crowd_limit > 0;
+    const bool room_counts = crowd || seek.fleet.load > kBusy || around_.rules.report_load < 0;
     const bool gathers =
-        seek.event.group &&
-        (around_.rules.price_crossing <= kDear ? crowd || seek.fleet.load > kBusy : crowd && seek.shortage);
+        seek.event.group && (around_.rules.price_crossing <= kDear ? room_counts : crowd && seek.shortage);
     const bool near = card.zone == around_.rules.zone || gathers;
     if (std::count(seek.hosts.begin(), seek.hosts.end(), id)) return 9;  // it has failed this attachment
     if (seek.event.mid_flow) return near ? 0 : 1;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -534,6 +534,35 @@
   }
 }
 
+// Operators' days (herd+mass): each zone's nodes gathered a group on hosts of their own, and all of them
+// paid.
+TEST(Groups, WhereNoLoadIsReportedNodesOfAllZonesMeetAtOneHostAtAnyTime) {
+  for (const bool reported : {false, true}) {
+    std::map<std::string, std::vector<std::string>> placed;  // by node's zone: where ten groups go
+    for (const char* zone : {"near", "far"}) {
+      Fake fake;
+      fake.settings["zone"] = std::string(zone);
+      fake.settings["price_crossing"] = 0.05;
+      if (reported) fake.settings["report.load"] = 0.0, fake.load = 0.1;
+      fake.start(4);
+      for (int i = 0; i < 4; ++i)
+        fake.list(Fake::listing("f" + std::to_string(i), "far"), HostState::healthy);
+      fake.pass(100000);
+      for (int i = 0; i < 10; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        fake.arrive(id, i, "plain", false, i);
+        fake.answer_probes();
+        ASSERT_FALSE(fake.tries[id].empty());
+        placed[zone].push_back(fake.tries[id].back());
+      }
+    }
+    int same = 0;
+    for (int i = 0; i < 10; ++i) same += placed["near"][i] == placed["far"][i] ? 1 : 0;
+    if (reported) EXPECT_EQ(same, 0) << "with room told, each in its own zone";
+    else EXPECT_EQ(same, 10);
+  }
+}
+
 TEST(Lists, ManyNodesDoNotAskAtTheSameMomentAndNoneTooLate) {
   std::set<Tenths> asked;
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
