One back-off for calls to the list service, within the 6 s after which a change counts as told

Cause: the waits stood in three places (Roster::list_lost and spread, Node::subscribe, Discovery). The operators' new term: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a lost call.

Change: src/backoff.h is the one place. Noticing a lost call 2.0 s, longest wait 1.5 s, 2.5 s left for the queue; waits double from 0.25 s and half of them is chance; where lists are pushed none is longer than half the grace, as before. The first call of a start comes within 1.5 s. The time after which a lost list freezes the weights is unchanged. Debug lines tell calls and what they brought.

Tests: ANodeOfManyAsksSoonAfterItsStartAndAfterEachLoss fails without the mend; the story of a service that is back, on sockets, passed without it too (its waits fell well by chance) and stays for the bound. Module tests (117, without crossings and variants) passed.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "backoff.h"
 #include "notes.h"
 
 namespace dapplewharf {
@@ -458,11 +459,7 @@
     if (event.kind == EventKind::list_lost) {
       ++losses_, subscribed_ = false;
       if (lost_at_ == 0) lost_at_ = around_.now;
-      const double wait = std::min(500.0 * (1 << std::min(losses_, 4)), 4000.0) * kMs;
-      // Danger: where little time is allowed for asking, the wait after losses alone is longer than that.
-      const double most = around_.rules.ask_within > 0 ? kAskLatest * around_.rules.ask_within : kNever;
-      ask_at_ = around_.now +
-                static_cast<Tenths>(std::min(wait + spread(), most) * (0.5 + around_.chance.share() / 2));
+      ask_at_ = around_.now + backoff().again(losses_, around_.chance.share());
       return;
     }
     if (event.kind != EventKind::list_copy) losses_ = 0, lost_at_ = 0;
@@ -482,7 +479,7 @@
     listed_.insert(named.begin(), named.end());
     if (!std::exchange(started_, true)) came_.push_back(around_.now);
     if (event.kind != EventKind::list_copy) return;
-    ask_at_ = around_.now + static_cast<Tenths>(spread() * around_.chance.share());
+    ask_at_ = around_.now + backoff().first(around_.chance.share());
     ask();
   }
 
@@ -495,9 +492,10 @@
     if (largest > 0) note.listing.size = largest;
   }
 
-  // Danger: one service lists for all nodes; asked by all at once it turns most away, and they ask again.
-  double spread() const {
-    return std::min(kAskLatest * around_.rules.ask_within, kAskShared * around_.rules.nodes);
+  // Danger: where little time is allowed for asking, a long wait alone would take all of it.
+  Backoff backoff() const {
+    const double most = around_.rules.ask_within > 0 ? kAskLatest * around_.rules.ask_within : kNever;
+    return {around_.rules.nodes, static_cast<Tenths>(most)};
   }
 
   void ask() {
@@ -516,7 +514,8 @@
 
   // When the list counts as silent, if it does not answer before.
   Tenths silent_from() const {
-    return lost_at_ > 0 ? lost_at_ + kListSilent + static_cast<Tenths>(spread()) + 1 : kNever;
+    const double in_turn = std::min(kAskLatest * around_.rules.ask_within, kAskShared * around_.rules.nodes);
+    return lost_at_ > 0 ? lost_at_ + kListSilent + static_cast<Tenths>(in_turn) + 1 : kNever;
   }
   bool silent() const { return around_.now >= silent_from(); }
   bool degraded(const Card& card) const { return card.score < 75 && around_.now >= card.cold; }
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "backoff.h"
 #include "notes.h"
 #include "settings.h"
 #include "wire/http.h"
@@ -15,15 +16,14 @@
 
 // Protocol page: what a silent watch misses counts as told so long after it fell silent, and what a new place
 // has to tell so long after SIGHUP.
-constexpr Tenths kToldUnheard = 6 * kSecond, kToldAnew = 4 * kSecond;
+constexpr Tenths kToldUnheard = Backoff::kToldWithin, kToldAnew = 4 * kSecond;
 // Half of that, so that there is as much again for a silent watch to be opened anew: all nodes' fall silent
 // together, and one service answers them in turn.
 constexpr Tenths kWait = 3 * kSecond;
-constexpr Tenths kPatience = 500 * kMs;         // for an answer, over the wait that was asked for
-constexpr Tenths kLongPatience = 1500 * kMs;    // the same from a service that let a watch hang just before
-constexpr Tenths kPause = 100 * kMs;            // short enough for the watch to go on
-constexpr Tenths kAgain = 200 * kMs;            // at most, between calls while something counts as told soon
-constexpr Tenths kFetchPatience = 2 * kSecond;  // calls wait in turn behind those of other nodes
+constexpr Tenths kPatience = 500 * kMs;       // for an answer, over the wait that was asked for
+constexpr Tenths kLongPatience = 1500 * kMs;  // the same from a service that let a watch hang just before
+constexpr Tenths kPause = 100 * kMs;          // short enough for the watch to go on
+constexpr Tenths kAgain = 200 * kMs;          // at most, between calls while something counts as told soon
 
 HostState state_of(const std::string& word) {
   if (word == "up") return HostState::healthy;
@@ -108,9 +108,10 @@
 }
 
 void Discovery::call(const std::string& target, bool waits) {
-  const Tenths patience = waits ? kWait + (hung_ ? kLongPatience : kPatience) : kFetchPatience;
+  const Tenths patience = waits ? kWait + (hung_ ? kLongPatience : kPatience) : Backoff::kPatience;
   out_ = true;
   ++counters_.list_calls;
+  spdlog::debug("discovery is asked, {}", target);
   request_ = get_request(address_, target);
   called_at_ = loop_.now();
   stale_ = static_cast<bool>(socket_);
@@ -175,6 +176,8 @@
   out_ = false;
   loop_.cancel(deadline_);
   if (closes) hang_up();
+  spdlog::debug("discovery told version {}, hosts {}, after ms {}", list.version, list.listings.size(),
+                (loop_.now() - called_at_) / kMs);
   const bool news = list.version != version_;
   // Danger: a service that counts anew tells changes since its own beginning only; what came before is
   // missed.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "backoff.h"
 #include "notes.h"
 #include "settings.h"
 
@@ -27,7 +28,6 @@
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr double kHeldStep = 0.5;     // connections: less is no news
 constexpr Tenths kHandOverTime = 10 * kSecond;
-constexpr Tenths kLeastWait = 50 * kMs;  // between two calls of a list service that fails
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
 
@@ -188,17 +188,14 @@
   return at ? relay_.listen(*at) : std::string("no address of the form a.b.c.d:port");
 }
 
-// Where changes come unasked the module never asks; the node keeps the watch up, with growing waits.
+// Where changes come unasked the module never asks; the node keeps the watch up.
 void Node::subscribe() {
   if (text(settings_, "discovery") == "on_request") return;
   // Danger: what the service has counts as told from the moment it is back, and hosts that drain are sent to
-  // until the node has asked. No wait is longer than half of the grace; chance keeps nodes from asking in
-  // step.
-  const auto grace = static_cast<Tenths>(number(settings_, "drain_grace", 0));
-  const Tenths wait =
-      losses_ == 0 ? 0 : std::min<Tenths>({2500 << std::min(losses_, 5), 4 * kSecond, grace / 2});
-  const auto soon = static_cast<Tenths>(static_cast<double>(wait) * (0.5 + chance_.share() / 2));
-  loop_.at(again_, loop_.now() + std::max<Tenths>(soon, losses_ == 0 ? 0 : kLeastWait),
+  // until the node has asked: no wait is longer than half of the grace.
+  const Backoff backoff(number(settings_, "nodes", 1),
+                        static_cast<Tenths>(number(settings_, "drain_grace", 0)) / 2);
+  loop_.at(again_, loop_.now() + (losses_ == 0 ? 0 : backoff.again(losses_, chance_.share())),
            [this] { discovery_.watch(); });
 }
 
--- /dev/null
+++ b/tests/backoff.cpp
@@ -0,0 +1,104 @@
+// The waits before calls to the list service: their sum within which a change counts as told, and that
+// whoever lost together does not ask together. The module's and the node's waits are forced with their own
+// clocks.
+#include "backoff.h"
+
+#include "helper.h"
+
+using namespace dapplewharf;
+
+namespace {
+
+constexpr Tenths kTold = 6 * kSecond;  // operators' term
+
+}  // namespace
+
+TEST(Backoff, NoWaitOutlastsWhatNoticingALossAndTheQueueLeaveOfTheTime) {
+  Chance chance(3);
+  for (const double nodes : {1.0, 30.0, 350.0, 1024.0})
+    for (const Tenths most : {Tenths{0}, 200 * kMs, 560 * kMs, 7 * kSecond, INT64_MAX / 2}) {
+      const Backoff backoff(nodes, most);
+      for (int losses = 1; losses <= 100; ++losses) {
+        const Tenths wait = backoff.again(losses, losses % 2 ? chance.share() : 0.999999);
+        EXPECT_GE(wait, 50 * kMs);
+        EXPECT_LE(wait, std::max(most, 50 * kMs)) << "what the settings leave";
+        EXPECT_LE(Backoff::kPatience + wait + Backoff::kTurn, kTold) << nodes << " nodes, losses " << losses;
+        EXPECT_LE(backoff.first(chance.share()) + Backoff::kTurn, kTold);
+      }
+    }
+}
+
+TEST(Backoff, WhoeverLostTogetherAsksApartAndTheMoreOftenTheFurther) {
+  Chance chance(5);
+  for (const int losses : {1, 3, 9}) {
+    Tenths least = INT64_MAX, most = 0;
+    for (int node = 0; node < 350; ++node) {
+      const Tenths wait = Backoff(350, INT64_MAX / 2).again(losses, chance.share());
+      least = std::min(least, wait), most = std::max(most, wait);
+    }
+    EXPECT_GE(most * 10, least * 18) << "half of it is chance, after losses " << losses;
+    EXPECT_GE(most, losses == 9 ? 1400 * kMs : 200 * kMs);
+  }
+}
+
+// Operators' days (herd+mass): nodes that were killed asked up to 7 s after their start, and others 3.5 to 7
+// s after a loss, while the service was idle; they sent to hosts that had left.
+TEST(Backoff, ANodeOfManyAsksSoonAfterItsStartAndAfterEachLoss) {
+  for (const double nodes : {1.0, 30.0, 350.0})
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+      Fake fake;
+      fake.settings["nodes"] = nodes;
+      fake.settings["discovery"] = "on_request";
+      fake.settings["ask_within"] = 100000.0;
+      fake.start(3, seed);
+      for (int lost = 0; lost < 12; ++lost) {
+        const Tenths from = fake.now;
+        while (!fake.said(ActionKind::subscribe) && fake.now < from + kTold) {
+          fake.now += 100;
+          fake.tell(Event{});
+        }
+        EXPECT_LE(fake.now - from, 1600 * kMs) << nodes << " nodes, seed " << seed << ", losses " << lost;
+        if (lost > 0) {
+          EXPECT_GE(fake.now - from, 50 * kMs);
+        }
+        Event event;
+        event.kind = EventKind::list_lost;
+        fake.tell(event);
+      }
+    }
+}
+
+// A service that is down turns calls away, each in another way; from the instant at which it is back, by the
+// node's own clock, its list is followed within the term.
+TEST(Backoff, AServiceThatIsBackIsHeardWithinTheTermHoweverItFailedBefore) {
+  const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  for (const char* how : {"refused", "reset", "busy", "silent"}) {
+    Net net(1024, true, [](Configuration& to) {
+      to.env["peersTotal"] = 350;
+      to.env["guarantees"]["askWithinMs"] = 10000;
+    });
+    const std::string word = how;
+    const sockaddr_in there = net.discovery_at;
+    if (word == "refused") net.discovery.close(), net.call.close(), net.asked.clear();
+    const Tenths down_until = net.loop.now() + 8 * kSecond;  // long enough for the longest wait
+    while (net.loop.now() < down_until) {
+      if (word == "reset" && !net.asked.empty()) net.call.abort(), net.asked.clear();
+      if (word == "busy" && net.answers.empty()) net.answers = {busy};
+      net.turn();
+    }
+    net.answers.clear();
+    if (word == "refused") {
+      EXPECT_FALSE(listen_at(there, net.discovery));
+    }
+    // What was asked while it was down stays without an answer, on a connection that stays up.
+    if (word == "silent") net.keep(std::move(net.call)), net.call = Socket(), net.asked.clear();
+    const Tenths back = net.loop.now();
+    const std::string list = Net::http(R"({"generation":2,"reset":true,"instances":[]})");
+    net.answers = {list};
+    EXPECT_TRUE(net.until([&] { return net.answers.empty(); }, 8000)) << how;
+    // A watch may wait 3 s and is then given 1.5 s; what it missed is asked for at once.
+    const Tenths most = word == "silent" ? 4500 * kMs : Backoff::kPatience + Backoff::kLongest;
+    EXPECT_LE(net.loop.now() - back, most + 300 * kMs) << how;
+    EXPECT_LT(most + 300 * kMs, kTold);
+  }
+}
