Lists of hosts are read up to a part of the memory granted; discovery has descriptors of its own

Cause, read and then forced: a list of over 256 KiB was refused whole for good; 1,024 hosts, indented and with long names, are 700 KiB. A body in pieces was copied anew with each piece that came. Probes left two descriptors like discovery, so probes to many hosts could take what discovery needs while idle clients fill the rest.

Change: the largest list is a 32nd of limits.memory_mb (1 MiB of 32 MB, 64 MB where it is not said); only a whole body is put together; probes leave six descriptors, discovery two. limits.memory_mb that is no number refuses the configuration by name.

Not measured: memory at its peak on a long list.

--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -12,8 +12,9 @@
 
 namespace dapplewharf {
 
-constexpr int kKeptBack = 16;  // descriptors that no setup try takes, so that clients get an answer
-constexpr int kLastOnes = 2;   // and that neither probes nor discovery take, lest all hosts look bad
+constexpr int kKeptBack = 16;    // descriptors that no setup try takes, so that clients get an answer
+constexpr int kProbesLeave = 6;  // and that no probe takes: discovery can be dialled whatever clients hold
+constexpr int kLastOnes = 2;     // and that discovery leaves, lest all hosts look bad
 
 std::optional<sockaddr_in> address_of(const std::string& text);  // a.b.c.d:port
 int descriptor_limit(int wanted);  // sets the process's limit as near to `wanted` as may be; returns it
@@ -22,6 +23,7 @@
 struct Limits {
   int descriptors = 1024;
   Tenths connect_time = 0;
+  std::size_t list_bytes = 1024 * 1024;  // the largest list of hosts that is read
 };
 
 class Socket {
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -159,6 +159,10 @@
   if (!sockets.is_number() || sockets.get<double>() < 4 * kKeptBack || sockets.get<double>() > 1e7)
     throw std::runtime_error("'limits.sockets' is no number or too small to serve");
   to.descriptors = sockets.get<int>();
+  const json memory = from.value("/limits/memory_mb"_json_pointer, json(to.memory_mb));
+  if (!memory.is_number() || memory.get<double>() < 1 || memory.get<double>() > 1e7)
+    throw std::runtime_error("'limits.memory_mb' is no number or too small to serve");
+  to.memory_mb = memory.get<double>();
   // Words between nodes are a help, no need: what is missing or odd there leaves the node alone, and serving.
   if (to.env.value("/bounds/peerMessages"_json_pointer, json(false)) == true && from.contains("peers") &&
       from["peers"].is_array() && from.contains("peer_listen") && from["peer_listen"].is_string()) {
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -15,6 +15,7 @@
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
   int descriptors = 1024;
+  double memory_mb = 64;      // granted to this process
   nlohmann::json known, env;  // the list as last had; the settings
   LogSettings log;
   std::optional<nlohmann::json> shadow;  // the settings that are only watched; none: off
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -155,7 +155,7 @@
   if (!out_) return ended || *got > 0 ? hang_up() : void();  // nothing was asked for
   if (ended && in_.empty()) return broken(stale_);
   if (*got == 0 && !ended) return;
-  const Answer answer = answer_of(in_, ended);
+  const Answer answer = answer_of(in_, ended, limits_.list_bytes);
   if (answer.state == Answer::State::more) return;
   if (answer.state == Answer::State::bad || answer.status != 200) {
     spdlog::warn("discovery answered {}",
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -28,6 +28,9 @@
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr double kHeldStep = 0.5;     // connections: less is no news
 constexpr Tenths kHandOverTime = 10 * kSecond;
+// Danger: parsed, a list takes up to twenty times its size. With 32 MB that is 1 MiB, 1,024 hosts of 1,024
+// bytes.
+constexpr double kListPart = 32;
 
 std::string id_of(Ticket ticket) { return std::to_string(ticket.slot) + "." + std::to_string(ticket.life); }
 
@@ -158,6 +161,7 @@
   shortest_goal_ = static_cast<Tenths>(extreme(settings_, "message_goal.", "", -1, 0));
   limits_.connect_time = static_cast<Tenths>(number(settings_, "connect_time", kSecond));
   limits_.descriptors = configuration_.descriptors;
+  limits_.list_bytes = static_cast<std::size_t>(configuration_.memory_mb * 1024 * 1024 / kListPart);
   grammar_ = {};
   for (int i = 0; settings_.count("traffic." + std::to_string(i) + ".name"); ++i) {
     const std::string at = "traffic." + std::to_string(i) + ".";
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -48,7 +48,7 @@
   line.stale = false;
   line.sent = 0;
   const auto to = address_of(line.address);
-  const Dial dialled = to ? dial(*to, limits_.descriptors, kLastOnes, line.socket) : Dial::refused;
+  const Dial dialled = to ? dial(*to, limits_.descriptors, kProbesLeave, line.socket) : Dial::refused;
   if (dialled != Dial::begun)
     return over(host, line, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor, false);
   line.watched = loop_.watch(line.socket.number(), POLLOUT, [this, host](short) { ready(host); });
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -3,14 +3,12 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <vector>
 
 namespace dapplewharf {
 namespace {
 
 constexpr std::size_t kLongestHead = 16 * 1024;
-// Some 1,500 hosts. Danger: parsed, a list takes up to twenty times its size of a node that has 32 MB.
-constexpr std::size_t kLargestBody = 256 * 1024;
-
 std::string lower(std::string_view text) {
   std::string out(text);
   std::transform(out.begin(), out.end(), out.begin(),
@@ -25,9 +23,9 @@
   return text;
 }
 
-bool number_of(std::string_view text, int base, std::size_t& to) {
+bool number_of(std::string_view text, int base, std::size_t most, std::size_t& to) {
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), to, base);
-  return fault == std::errc() && end != text.data() && to <= kLargestBody;
+  return fault == std::errc() && end != text.data() && to <= most;
 }
 
 // One line without its end; false when it has not come whole.
@@ -39,22 +37,27 @@
   return true;
 }
 
-void pieces_of(std::string_view rest, Answer& answer) {
-  std::string_view line;
-  std::size_t size = 0;
+// Danger: a long list in many pieces would be copied anew with each that comes; only a whole one is.
+void pieces_of(const std::string_view all, std::size_t largest, Answer& answer) {
+  std::string_view rest = all, line;
+  std::size_t size = 0, whole = 0;
+  std::vector<std::string_view> pieces;
   while (line_of(rest, line)) {
-    if (!number_of(line.substr(0, line.find(';')), 16, size) || answer.body.size() + size > kLargestBody) {
+    if (!number_of(line.substr(0, line.find(';')), 16, largest, size) || (whole += size) > largest) {
       answer.state = Answer::State::bad;
       return;
     }
     if (size == 0) {
       while (line_of(rest, line) && !line.empty()) {}
-      if (line.empty()) answer.state = Answer::State::done;
+      if (!line.empty()) return;
+      answer.state = Answer::State::done;
       answer.closes = answer.closes || !rest.empty();
+      answer.body.reserve(whole);
+      for (const std::string_view piece : pieces) answer.body += piece;
       return;
     }
     if (rest.size() < size + 1) return;
-    answer.body += rest.substr(0, size);
+    pieces.push_back(rest.substr(0, size));
     rest.remove_prefix(size);
     if (!line_of(rest, line)) return;
   }
@@ -66,7 +69,7 @@
   return "GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n";
 }
 
-Answer answer_of(std::string_view in, bool ended) {
+Answer answer_of(std::string_view in, bool ended, std::size_t largest) {
   Answer answer;
   std::string_view rest = in, line;
   bool chunked = false, sized = false, head = false;
@@ -76,7 +79,7 @@
     return answer;
   };
   if (line_of(rest, line)) {
-    if (!line.starts_with("HTTP/1.") || line.size() < 12 || !number_of(line.substr(9, 3), 10, status))
+    if (!line.starts_with("HTTP/1.") || line.size() < 12 || !number_of(line.substr(9, 3), 10, 999, status))
       return bad();
     answer.status = static_cast<int>(status);
     answer.closes = line.starts_with("HTTP/1.0");
@@ -85,13 +88,13 @@
       const std::size_t colon = line.find(':');
       if (head || colon == std::string_view::npos) continue;
       const std::string name = lower(line.substr(0, colon)), value = lower(trimmed(line.substr(colon + 1)));
-      if (name == "content-length" && !(sized = number_of(value, 10, size))) return bad();
+      if (name == "content-length" && !(sized = number_of(value, 10, largest, size))) return bad();
       if (name == "transfer-encoding") chunked = value.find("chunked") != std::string::npos;
       if (name == "connection") answer.closes = value.find("close") != std::string::npos;
     }
   }
   if (!head) return in.size() > kLongestHead || ended ? bad() : answer;
-  if (chunked) pieces_of(rest, answer);
+  if (chunked) pieces_of(rest, largest, answer);
   else if (sized ? rest.size() >= size : ended) {
     answer.body = sized ? rest.substr(0, size) : rest;
     // Danger: what stands behind an answer would be read as that to the next call.
@@ -99,7 +102,9 @@
     answer.state = Answer::State::done;
   }
   if (!chunked && !sized) answer.closes = true;
-  if (answer.state == Answer::State::more && (ended || rest.size() > kLargestBody)) return bad();
+  if (answer.body.size() > largest) return bad();
+  if (answer.state == Answer::State::more && (ended || rest.size() > (chunked ? 2 : 1) * largest))
+    return bad();
   return answer;
 }
 
