--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -153,6 +153,25 @@
   }
 }
 
+// Its line and its end are there before the node's next turn: not even a connection is made for it.
+TEST(Crossings, AClientThatEndsWithItsLineCostsNoHostAConnection) {
+  Net net;
+  Socket client;
+  ASSERT_EQ(dial(net.front, 1024, 0, client), Dial::begun);
+  net.run(20);
+  const std::string line = opening();
+  EXPECT_EQ(client.send(line.data(), line.size()), line.size());
+  client.finish();
+  const int number = net.keep(std::move(client));
+  EXPECT_EQ(net.read(number).substr(0, 5), "ERR\r\n") << "it may still listen";
+  net.run(100);
+  EXPECT_FALSE(Socket(accept4(net.hosts.number(), nullptr, nullptr, SOCK_NONBLOCK)));
+  // The next one is served as ever: nothing of the one that left counts as out.
+  const int next = net.client(opening());
+  net.write(net.host_accepts(), "UP x\r\n");
+  EXPECT_EQ(net.read(next), "UP x\r\n");
+}
+
 TEST(Crossings, ATryWhoseTimeEndedDuringAPauseIsNotSentOn) {
   Net net;
   Standing both(net);
