--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -237,7 +237,8 @@
   link->reach = Reach::not_connected;
   link->first.clear();
   link->try_until = loop_.now() + time_out;
-  // Danger: behind a long turn, or chosen in the very turn of its client's end, a try is a host's work for nobody.
+  // Danger: behind a long turn, or chosen in the very turn of its client's end, a try is a host's work for
+  // nobody.
   if (link->client.socket.has_news()) client_ready(ticket);
   link = links_.find(ticket);
   if (!link || !link->try_out) return;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -15,7 +15,8 @@
 };
 
 std::string get_request(const std::string& host, const std::string& target);
-// `in` is all that came since the request; `ended` that nothing more will. A body of over `largest` bytes is bad.
+// `in` is all that came since the request; `ended` that nothing more will. A body of over `largest` bytes is
+// bad.
 Answer answer_of(std::string_view in, bool ended, std::size_t largest);
 
 }  // namespace dapplewharf
--- a/tests/backoff.cpp
+++ b/tests/backoff.cpp
@@ -58,9 +58,7 @@
           fake.tell(Event{});
         }
         EXPECT_LE(fake.now - from, 1600 * kMs) << nodes << " nodes, seed " << seed << ", losses " << lost;
-        if (lost > 0) {
-          EXPECT_GE(fake.now - from, 50 * kMs);
-        }
+        if (lost > 0) { EXPECT_GE(fake.now - from, 50 * kMs); }
         Event event;
         event.kind = EventKind::list_lost;
         fake.tell(event);
@@ -87,9 +85,7 @@
       net.turn();
     }
     net.answers.clear();
-    if (word == "refused") {
-      EXPECT_FALSE(listen_at(there, net.discovery));
-    }
+    if (word == "refused") { EXPECT_FALSE(listen_at(there, net.discovery)); }
     // What was asked while it was down stays without an answer, on a connection that stays up.
     if (word == "silent") net.keep(std::move(net.call)), net.call = Socket(), net.asked.clear();
     const Tenths back = net.loop.now();
