--- a/src/backoff.h
+++ b/src/backoff.h
@@ -1,7 +1,8 @@
 // When the list service is asked: first, and again after calls to it that were lost. The one place for these
-// waits, for the decision module, the node and its connection to that service alike. Owns two figures of the
-// settings; reads no clock, draws no chance and asks nobody itself. Spans are in tenths of a millisecond,
-// shares of chance from 0 to 1.
+// waits, for the decision module and the node; only while what a silent watch or a place left behind has
+// missed counts as told soon does the connection to that service ask again by itself (node/discovery). Owns
+// two figures of the settings; reads no clock, draws no chance and asks nobody itself. Spans are in tenths of
+// a millisecond, shares of chance from 0 to 1.
 #pragma once
 #include <algorithm>
 
