Read once more: one look at a client before a try, one figure for the service's time a call

kAskShared in the module and Backoff::kShared were the same 40 ms: the module uses the latter. Relay::try_at and last_look read the client's news and looked the link up again in the same three lines: both call Relay::with_client. No behaviour changes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -17,7 +17,6 @@
 
 constexpr Tenths kNever = INT64_MAX / 2;
 constexpr Tenths kListSilent = 3 * kSecond;    // a lost list is asked for again well within this
-constexpr double kAskShared = 40 * kMs;        // a list service's time for one node's inquiry
 constexpr double kAskLatest = 0.7;             // of the time after which a node is taken as told
 constexpr Tenths kSoughtSpan = 10 * kSecond;   // long enough for a quiet node to see how much comes
 constexpr double kTurns = 0.7, kChance = 0.4;  // of what pushes a cold host over: by turns, by chance
@@ -514,7 +513,8 @@
 
   // When the list counts as silent, if it does not answer before.
   Tenths silent_from() const {
-    const double in_turn = std::min(kAskLatest * around_.rules.ask_within, kAskShared * around_.rules.nodes);
+    const double in_turn =
+        std::min(kAskLatest * around_.rules.ask_within, Backoff::kShared * around_.rules.nodes);
     return lost_at_ > 0 ? lost_at_ + kListSilent + static_cast<Tenths>(in_turn) + 1 : kNever;
   }
   bool silent() const { return around_.now >= silent_from(); }
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -239,9 +239,8 @@
   link->try_until = loop_.now() + time_out;
   // Danger: behind a long turn, or chosen in the very turn of its client's end, a try is a host's work for
   // nobody.
-  if (link->client.socket.has_news()) client_ready(ticket);
-  link = links_.find(ticket);
-  if (!link || !link->try_out) return;
+  link = with_client(ticket);
+  if (!link) return;
   if (Socket::short_of(limits_.descriptors, kKeptBack)) evict_one();
   const Dial dialled =
       address ? dial(*address, limits_.descriptors, kKeptBack, link->host.socket) : Dial::refused;
@@ -260,13 +259,19 @@
   });
 }
 
+// Reads what the client has sent by now, or its end; null when that ended the try.
+Relay::Link* Relay::with_client(Ticket ticket) {
+  if (links_.find(ticket)->client.socket.has_news()) client_ready(ticket);
+  Link* link = links_.find(ticket);
+  return link && link->try_out ? link : nullptr;
+}
+
 // Danger: a connection comes up long after its host was chosen. Meanwhile the client may have left, the host
 // may have been announced as leaving, or the time may be over, also in this very turn or during a pause of
 // the process; whatever is found here is known not to have run. What has begun is never withdrawn.
 bool Relay::last_look(Ticket ticket) {
-  if (links_.find(ticket)->client.socket.has_news()) client_ready(ticket);
-  Link* link = links_.find(ticket);
-  if (!link || !link->try_out) return false;
+  Link* link = with_client(ticket);
+  if (!link) return false;
   if (loop_.now() >= link->try_until) return end_try(ticket, *link, Cause::time_out), false;
   if (!heard_.wanted(ticket)) return end_try(ticket, *link, Cause::withdrawn), false;
   return true;
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -105,6 +105,7 @@
   static std::optional<std::size_t> take(const Side& from, std::string& to, bool& ended);
   void greet(Ticket ticket, Link& link);
   void greeting_ends(Ticket ticket, Link& link, Tenths after);
+  Link* with_client(Ticket ticket);         // the link of a try that is out; null when its client has gone
   bool last_look(Ticket ticket);            // false when the try is over
   bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
   void await_up(Ticket ticket, Link& link);
