Failing tests: a passing trouble ends a connection that stood before the node's start

Reproduced on loopback with calls that fail on purpose (tests/faults/system_faults): connect and socket failing for 300 ms, a host that resets, ends, refuses or turns away once, a host the list names later, a host that never answers the line. Each ends the connection with ERR, or leaves it waiting, though the platform allows 40 s.

--- /dev/null
+++ b/tests/faults/reattach.cpp
@@ -0,0 +1,152 @@
+// Connections that were open at a host before this node started (`at=`): the platform allows 40 s to bring
+// each up again, so no passing trouble ends one. Accepting: a passing failure turns no client away.
+#include <gtest/gtest.h>
+
+#include "faults/system_faults.h"
+#include "helper.h"
+
+using namespace dapplewharf;
+using faults::Call;
+
+namespace {
+
+constexpr int kMomentMs = 300;      // that a passing trouble lasts
+constexpr int kBadClientMs = 3000;  // LATER page: within this an unusable line is owed an error
+
+std::string line_at(const std::string& host, const std::string& more = "") {
+  static int last = 0;
+  return "OPEN 5a" + std::to_string(++last) + " 2e c=plain,t=x,d=4294967,at=" + host + more + "\r\n";
+}
+
+struct Cleared {
+  Cleared() { faults::clear(); }
+  ~Cleared() { faults::clear(); }
+};
+
+// The host's next connection, on which the whole line has come.
+int host_with_line(Net& net) {
+  const int host = net.host_accepts();
+  if (::testing::Test::HasFailure()) return host;
+  EXPECT_EQ(net.read(host).substr(0, 5), "OPEN ");
+  return host;
+}
+
+void comes_up(Net& net, int client) {
+  const int host = host_with_line(net);
+  if (::testing::Test::HasFailure()) return;
+  net.write(host, "UP x\r\n");
+  EXPECT_EQ(net.read(client), "UP x\r\n");
+}
+
+int further_connections(Net& net, int ms) {
+  int count = 0;
+  net.until(
+      [&] {
+        Socket taken(accept4(net.hosts.number(), nullptr, nullptr, SOCK_NONBLOCK));
+        if (taken) ++count, net.keep(std::move(taken));
+        return false;
+      },
+      ms);
+  return count;
+}
+
+}  // namespace
+
+TEST(Reattach, ACallThatFailsForAMomentDoesNotEndAConnectionFromBefore) {
+  const std::pair<Call, int> failing[] = {
+      {Call::connect, ENETUNREACH}, {Call::connect, ENOBUFS},      {Call::connect, EADDRNOTAVAIL},
+      {Call::connect, ENETDOWN},    {Call::connect, EAGAIN},       {Call::socket, ENFILE},
+      {Call::socket, ENOBUFS},      {Call::connect, ECONNREFUSED}, {Call::connect, EHOSTUNREACH}};
+  for (const auto& [call, error] : failing) {
+    SCOPED_TRACE(std::to_string(static_cast<int>(call)) + " errno " + std::to_string(error));
+    const Cleared cleared;
+    Net net;
+    Socket dialled;
+    EXPECT_EQ(dial(net.front, 1024, 0, dialled), Dial::begun);
+    const int client = net.keep(std::move(dialled));
+    net.run(20);
+    const int port = call == Call::connect ? ntohs(net.hosts_at.sin_port) : 0;
+    faults::inject({call, error, 1, 0, kMomentMs, port});
+    net.write(client, line_at("h2"));
+    comes_up(net, client);
+    if (HasFailure()) return;  // each further one would wait in vain as well
+    EXPECT_GT(faults::hits(), 0);
+  }
+}
+
+TEST(Reattach, AHostsPassingTroubleDoesNotEndAConnectionFromBefore) {
+  for (const std::string trouble :
+       {"reset", "end", "BUSY\r\n", "ERR\r\n", "half a line", "refused", "unlisted"}) {
+    SCOPED_TRACE(trouble);
+    const Cleared cleared;
+    Net net;
+    if (trouble == "refused") net.hosts.close();
+    const int client = net.client(line_at(trouble == "unlisted" ? "h9" : "h2"));
+    if (trouble == "refused") {
+      net.run(kMomentMs);
+      EXPECT_FALSE(listen_at(net.hosts_at, net.hosts));
+    } else if (trouble == "unlisted") {
+      net.run(kMomentMs);
+      net.answers = {
+          Net::http(R"({"generation":2,"reset":false,"instances":[{"instanceId":"h9","hostPort":")" +
+                    Net::text_of(net.hosts_at) + R"(","zone":"near","lifecycle":"up"}]})")};
+    } else {
+      const int first = host_with_line(net);
+      if (trouble == "reset") net.reset(first);
+      else if (trouble == "end") net.finish(first);
+      else net.write(first, trouble);
+      if (trouble == "half a line") net.reset(first);
+    }
+    comes_up(net, client);
+    if (HasFailure()) return;
+  }
+}
+
+TEST(Reattach, AHostThatNeverAnswersTheLineIsAskedAgain) {
+  const Cleared cleared;
+  Net net;
+  const int client = net.client(line_at("h2")), silent = host_with_line(net);
+  EXPECT_TRUE(net.ended(silent)) << "danger: a single attempt would wait for over an hour";
+  if (HasFailure()) return;
+  comes_up(net, client);
+}
+
+TEST(Reattach, WhatMayHaveRunIsNotSentAgainAndIsAnsweredAtOnce) {
+  const Cleared cleared;
+  Net net(1024, true, [](Configuration& to) { to.env["lanes"][0]["semantics"] = "at_most_once"; });
+  const int client = net.client(line_at("h2")), host = host_with_line(net);
+  const Tenths reset_at = net.loop.now();
+  net.reset(host);
+  EXPECT_EQ(net.read(client), "ERR\r\n");
+  EXPECT_LT(net.loop.now() - reset_at, 200 * kMs);
+  EXPECT_EQ(further_connections(net, 1000), 0);
+}
+
+TEST(Reattach, BetweenAttemptsAnEndOfTheClientOrOfTheNodeIsHeeded) {
+  const Cleared cleared;
+  {
+    Net net;
+    const int client = net.client(line_at("h2")), host = host_with_line(net);
+    net.reset(host);
+    net.reset(client);
+    EXPECT_EQ(further_connections(net, 1500), 0) << "nobody waits for it any more";
+  }
+  {
+    Net net;
+    net.hosts.close();
+    const int client = net.client(line_at("h2"));
+    net.run(100);
+    net.node->stop();
+    const std::string told = net.read(client, 4, 4000);
+    EXPECT_TRUE(told == "MOVE\r\n" || told == "ERR\r\n") << told;
+    net.finish(client);
+    EXPECT_TRUE(net.until([&] { return net.node->done(); }, 4000)) << "nothing is held for good";
+  }
+}
+
+TEST(Reattach, AHostThatNoListNamesIsAnsweredWithinABadClientsTime) {
+  const Cleared cleared;
+  Net net;
+  const int client = net.client(line_at("nobody"));
+  EXPECT_EQ(net.read(client, 5, kBadClientMs), "ERR\r\n");
+}
