A connection from before the run is dialled again until up; no passing fault ends a request

Class: a passing trouble handled as a lasting one, and this machine's as the host's.

Change: src/policy/reattach.h paces further attempts at the same host, src/policy/request_ledger says in one place whether an attempt may begin or an answer go out, refuses, counts and tells what breaks a rule. The same class elsewhere: accept that fails for a moment turned clients away, or let the process end with one at the door; connect and socket failing here used up all tries of a request at once or were taken for the host's fault; a probe that this machine could not send counted against its host; hosts in trouble gave up connections that were not up yet; listening failed at the start for want of a descriptor.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -18,6 +18,8 @@
                 cancelled = 0, not_sent = 0, withdrawn = 0;
   // answered
   std::uint64_t honoured = 0, rejected = 0, scrapped = 0, moved = 0, left = 0, overdue = 0, no_descriptor = 0;
+  // faults of the system below, and of our own
+  std::uint64_t accept_failures = 0, local_failures = 0, reattached = 0, violations = 0;
   // words with other nodes
   std::uint64_t words_told = 0, words_heard = 0, words_passed = 0;
 
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -17,8 +17,28 @@
 
 constexpr int kBindTries = 20, kBindWaitMs = 100;
 
+// Of a read or write on a socket that stands: nothing has happened to the connection.
+bool may_be_called_again(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOBUFS || error == ENOMEM;
+}
+
 }  // namespace
 
+bool is_local_and_passing(int error) {
+  switch (error) {
+    case EINTR:
+    case EAGAIN:
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:  // no local port is free
+    case ENETUNREACH:    // no route from here
+    case ENETDOWN: return true;
+    default: return false;
+  }
+}
+
 std::optional<sockaddr_in> address_of(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
@@ -65,20 +85,20 @@
     ended = got == 0;
     return static_cast<std::size_t>(got);
   }
-  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return 0;
+  if (may_be_called_again(errno)) return 0;
   return std::nullopt;
 }
 
 std::optional<std::size_t> Socket::send(const char* bytes, std::size_t size) const {
   const ssize_t given = ::send(descriptor_, bytes, size, MSG_NOSIGNAL);
   if (given >= 0) return static_cast<std::size_t>(given);
-  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return 0;
+  if (may_be_called_again(errno)) return 0;
   return std::nullopt;
 }
 
 bool Socket::has_news() const {
   char byte;
-  return recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EINTR);
+  return recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || !may_be_called_again(errno);
 }
 
 bool Socket::connected() const {
@@ -90,30 +110,33 @@
 Dial dial(const sockaddr_in& to, int limit, int kept_back, Socket& socket) {
   Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   // Danger: tries that take the last descriptors leave none to tell clients so.
-  if (!made || Socket::short_of(limit, kept_back)) return Dial::no_descriptor;
+  if (Socket::short_of(limit, kept_back)) return Dial::no_descriptor;
+  if (!made) return Dial::local_failure;
   const int on = 1;
   setsockopt(made.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   const int done = connect(made.number(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
   if (done != 0 && errno != EINPROGRESS && errno != EINTR)
-    return errno == EADDRNOTAVAIL || errno == ENOBUFS ? Dial::no_descriptor : Dial::refused;
+    return is_local_and_passing(errno) ? Dial::local_failure : Dial::refused;
   socket = std::move(made);
   return Dial::begun;
 }
 
 std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket) {
-  Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  if (made) setsockopt(made.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  // Danger: at a restart the process before this one may not quite have gone.
-  int bound = -1;
-  for (int i = 0; made && bound != 0 && i < kBindTries; ++i) {
-    bound = bind(made.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
-    if (bound != 0 && errno != EADDRINUSE) break;
-    if (bound != 0) poll(nullptr, 0, kBindWaitMs);
+  for (int i = 0;; ++i) {
+    Socket made(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    if (made) setsockopt(made.number(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (made && bind(made.number(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
+        listen(made.number(), SOMAXCONN) == 0) {
+      socket = std::move(made);
+      return std::nullopt;
+    }
+    // Danger: at a restart the process before this one may not quite have gone. An address that is not this
+    // machine's never becomes it.
+    const bool passes = errno == EADDRINUSE || (is_local_and_passing(errno) && errno != EADDRNOTAVAIL);
+    if (!passes || i + 1 >= kBindTries) return std::string(std::strerror(errno));
+    poll(nullptr, 0, kBindWaitMs);
   }
-  if (bound != 0 || listen(made.number(), SOMAXCONN) != 0) return std::string(std::strerror(errno));
-  socket = std::move(made);
-  return std::nullopt;
 }
 
 }  // namespace dapplewharf
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -59,9 +59,16 @@
   int descriptor_ = -1;
 };
 
-enum class Dial { begun, refused, no_descriptor };
+// no_descriptor: the process has none left to spend; local_failure: the system refused for now, which says
+// nothing of the peer; refused: the peer's own doing.
+enum class Dial { begun, refused, no_descriptor, local_failure };
 // A connection in the making; poll says when it stands. Leaves the last `kept_back` of `limit` descriptors.
 Dial dial(const sockaddr_in& to, int limit, int kept_back, Socket& socket);
-std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket);  // what went wrong, if anything
+// What went wrong, if anything. Waits up to 2 s for an address that is still taken, or a system short of
+// memory, descriptors or buffers.
+std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket);
+
+// Whether an errno of socket, connect, accept or a file's call tells of this machine alone, and may pass.
+bool is_local_and_passing(int error);
 
 }  // namespace dapplewharf
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -274,6 +274,8 @@
       case EventKind::peer_word: card_.elsewhere = event.figure; break;
       case EventKind::probe_ended:
         looked(event);
+        // Danger: what failed on this machine says nothing of the host.
+        if (event.outcome == Outcome::not_sent) break;
         silent_ = event.outcome == Outcome::no_answer || event.outcome == Outcome::no_connection;
         result(probes_, event.outcome == Outcome::honoured);
         // Danger: a host without set-ups is never heard well of again. Then good probes count for them too.
@@ -323,6 +325,7 @@
     next_relief_ = around_.now + (dead() ? kPulse : kRelief);
     Note& note = around_.write(Part::desk, Topic::evict, id_);
     const Tenths steps = (around_.now - relief_since_) / kRelief + 1;
+    note.leaving = !in_service();
     note.part = dead() ? 1 : 1 - std::pow(1 - kReliefShare, steps);
     note.fleet = fleet_;
     if (!begins) return;
@@ -757,7 +760,9 @@
       case Topic::event: happened(note.event); break;
       case Topic::route:
       case Topic::passed: ask(note); break;
-      case Topic::evict: evict(note.host, note.part, note.fleet.spare, note.fleet.each >= kOverBy); break;
+      case Topic::evict:
+        evict(note.host, note.part, note.fleet.spare, note.fleet.each >= kOverBy, note.leaving);
+        break;
       case Topic::taken: send(note.event.id, note.host); break;
       default: return;
     }
@@ -812,6 +817,7 @@
     held.group = text(around_.settings, at + "repeat_group");
     if (event.kind == EventKind::handed_over) {
       held.standing = true;
+      held.pending = event.pending;
       held.tries.push_back({event.host, around_.now, true, true});
       tell_host(event, event.host);
     }
@@ -822,6 +828,7 @@
   }
 
   void stands(Attachment& held, const Event& event) {
+    held.pending = false;
     if (!std::exchange(held.standing, true)) --out_;  // a connection from before was no try of this node
     keep_last(times_, event.took, kTimes);
     Event told = event;  // with the time beyond which a set-up is a bad one
@@ -881,11 +888,13 @@
 
   // Whole groups move, the same at every node, so that a group is paid for at one host and not at two.
   // Danger: a least of one at each of many nodes clears a host at a stroke; a group's hash says when it goes.
-  void evict(const std::string& host, double part, int spare, bool whole) {
+  void evict(const std::string& host, double part, int spare, bool whole, bool leaving) {
     std::erase_if(moved_, [this](Tenths when) { return around_.now - when >= kSecond; });
     for (auto& [id, held] : held_) {
       if (!held.standing || held.answered) continue;
       if (!host.empty() && held.tries.back().host != host) continue;
+      // Danger: one that is still to come up again would be ended by a trouble that may pass.
+      if (held.pending && !host.empty() && !leaving) continue;
       const auto& by = held.event.group && whole ? held.event.group : held.event.key;
       const auto group = hash(by ? static_cast<std::uint64_t>(*by) : hash(id));
       if (static_cast<double>(hash(group ^ hash(host)) >> 32) >= part * 4294967296.0) continue;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,7 +27,6 @@
 constexpr double kSpeeds = 2;         // how far hosts at rest differ, beyond what their sizes say
 constexpr Tenths kNoise = 15;         // a probe's time over the least that says nothing
 constexpr double kHeldStep = 0.5;     // connections: less is no news
-constexpr Tenths kHandOverTime = 10 * kSecond;
 // Danger: parsed, a list takes up to twenty times its size. With 32 MB that is 1 MiB, 1,024 hosts of 1,024
 // bytes.
 constexpr double kListPart = 32;
@@ -90,7 +89,8 @@
 Outcome outcome_of(TryEnd end) {
   switch (end.cause) {
     case Cause::withdrawn: return Outcome::withdrawn;
-    case Cause::no_descriptor: return Outcome::not_sent;  // says nothing of the host
+    case Cause::no_descriptor:
+    case Cause::local_failure: return Outcome::not_sent;  // says nothing of the host
     case Cause::client:
     case Cause::cancelled:
     case Cause::move: return Outcome::cancelled;
@@ -117,9 +117,7 @@
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
            [this](Ticket at) {
              const Held* found = held(at);
-             if (!found || found->handed_over) return true;
-             const auto leaves = leaving_.find(found->host);
-             return leaves == leaving_.end() || (drain_alone_ && leaves->second == HostState::gone);
+             return !found || allowed_by_list(*found);
            },
            [this](Ticket at, Tenths delay) {
              const Held* found = held(at);
@@ -231,33 +229,124 @@
   if (groups_) event.group = opening.group;
   event.expiry = loop_.now() + opening.wait;
   if (stopping_) event.expiry = std::min(event.expiry, ends_by_ - kLookEvery);  // no answer comes later
+  made.request = opening.id;
   event.repeated = opening.repeated;
   event.returned = opening.returned;
   if (!opening.at.empty()) {
     ++counters_.handed_over;
     event.host = made.host = opening.at;
-    made.handed_over = true;
+    event.pending = made.handed_over = true;
     made.tries = 1;
     made.sent = loop_.now();
     made.out = true;
+    made.reattach.emplace(loop_.now(), opening.wait);
   }
+  ledger_.open(event.id, repeat_rule_of(opening.traffic_type), event.expiry);
   held_[event.id] = made;
-  if (opening.at.empty()) return;
-  relay_.try_at(ticket, address_of(address(opening.at)), opening.wait,
-                kHandOverTime);  // all of them at once: no hurry
+  if (!opening.at.empty()) reattach(ticket);
+}
+
+HostPlace Node::place_of(const std::string& host) const {
+  const auto found = places_.find(host);
+  return found == places_.end() ? HostPlace{host, "", 0} : found->second;
+}
+
+RepeatRule Node::repeat_rule_of(const std::string& traffic_type) const {
+  const std::string at = entry(settings_, "traffic.", traffic_type);
+  if (at.empty()) return {};
+  const std::string effect = text(settings_, at + "effect"), group = text(settings_, at + "repeat_group");
+  return {effect == "idempotent"     ? Effect::idempotent
+          : effect == "deduplicated" ? Effect::deduplicated
+                                     : Effect::unrepeatable,
+          group == "all"    ? RepeatGroup::all
+          : group == "zone" ? RepeatGroup::zone
+                            : RepeatGroup::cell,
+          static_cast<Tenths>(number(settings_, at + "repeat_window", 0))};
+}
+
+bool Node::allowed_by_list(const Held& held) const {
+  if (held.handed_over) return true;  // nothing new: it stood there before
+  const auto leaves = leaving_.find(held.host);
+  return leaves == leaving_.end() || (drain_alone_ && leaves->second == HostState::gone);
+}
+
+void Node::violated(const std::string& what, const std::string& id, Refusal refusal) {
+  ++counters_.violations;
+  const auto found = held_.find(id);
+  spdlog::error("refused to {} request {}: {}", what, found == held_.end() ? id : found->second.request,
+                name_of(refusal));
+}
+
+void Node::release(const std::string& id) {
+  if (ledger_.close(id)) violated("close unanswered", id, Refusal::none);
+  held_.erase(id);
+}
+
+// The one way to an attempt: nothing goes to a host that the ledger refuses.
+Refusal Node::begin_attempt(Held& held, const std::string& id, Tenths time_out, Tenths connect_time) {
+  const HostPlace place = place_of(held.host);
+  const Refusal refusal = ledger_.may_begin(id, place, true, loop_.now());  // the list: at the last look
+  if (refusal != Refusal::none) return refusal;
+  ledger_.begun(id, place, loop_.now());
+  relay_.try_at(held.ticket, address_of(address(held.host)), time_out, connect_time);
+  return Refusal::none;
+}
+
+void Node::reattach(Ticket ticket) {
+  Held* found = held(ticket);
+  if (!found || found->up || found->over) return;
+  found->between_attempts = false;
+  Tenths time = found->reattach->attempt_time(loop_.now());
+  if (stopping_) time = std::max<Tenths>(1, std::min(time, ends_by_ - kLookEvery - loop_.now()));
+  const Refusal refusal = begin_attempt(*found, id_of(ticket), time, time);
+  if (refusal == Refusal::none) return;
+  found->between_attempts = true;
+  ended(ticket, {Reach::not_connected, Cause::withdrawn});
+}
+
+// Danger: the platform allows 40 s for a connection from before to come up again, and counts it as lost after
+// that. No single failure ends it: only a rule, its client, its host's leaving or the end of that time does.
+bool Node::reattach_later(Ticket ticket, Held& held, TryEnd end) {
+  if (held.between_attempts) return false;  // the ledger has refused
+  const std::string id = id_of(ticket);
+  const bool listed = !address(held.host).empty();
+  const auto leaves = leaving_.find(held.host);
+  const bool host_leaves = leaves != leaving_.end() && !drain_alone_;
+  const Refusal refusal = ledger_.may_begin(id, place_of(held.host), !host_leaves, loop_.now());
+  const auto pause = held.reattach->pause(loop_.now(), listed, chance_.share());
+  const bool again = refusal == Refusal::none && pause && !stopping_;
+  spdlog::log(again ? spdlog::level::info : spdlog::level::warn,
+              "request {} from before: attempt at host {} ended after ms {}, reach {}, cause {}; {}",
+              held.request, held.host, (loop_.now() - held.sent) / kMs, static_cast<int>(end.reach),
+              static_cast<int>(end.cause),
+              again                      ? "again in ms " + std::to_string(*pause / kMs)
+              : refusal != Refusal::none ? std::string("given up: ") + name_of(refusal)
+              : stopping_                ? std::string("given up: the node ends")
+                                         : std::string("given up: its time is over"));
+  if (!again) return false;
+  ++counters_.reattached;
+  held.between_attempts = true;
+  Loop::Deadline one;
+  loop_.at(one, loop_.now() + *pause, [this, ticket] { reattach(ticket); });
+  return true;
 }
 
 void Node::left(Ticket ticket) {
   Held* found = held(ticket);
   if (!found) return;
   tell(EventKind::client_left, id_of(ticket));
-  if (found->out) found->over = true;
-  else held_.erase(id_of(ticket));
+  ledger_.client_left(id_of(ticket));
+  if (!found->out) return release(id_of(ticket));
+  found->over = true;
+  if (found->between_attempts) ended(ticket, {Reach::not_connected, Cause::client});
 }
 
 void Node::up(Ticket ticket) {
   Held* found = held(ticket);
   if (!found) return;
+  if (const Refusal refusal = ledger_.may_answer(id_of(ticket), FinalAnswer::up); refusal != Refusal::none)
+    violated("pass on UP to", id_of(ticket), refusal);
+  ledger_.answered(id_of(ticket));
   found->up = true;
   Event& event = tell(EventKind::established, id_of(ticket), found->host);
   event.number = found->tries - 1;
@@ -269,9 +358,14 @@
 void Node::ended(Ticket ticket, TryEnd end) {
   Held* found = held(ticket);
   if (!found || !found->out) return;
+  const Outcome outcome = outcome_of(end);
+  if (!found->between_attempts)
+    ledger_.ended(id_of(ticket), outcome != Outcome::turned_away && outcome != Outcome::no_connection &&
+                                     outcome != Outcome::not_sent && outcome != Outcome::withdrawn);
+  if (found->handed_over && !found->up && !found->over && reattach_later(ticket, *found, end)) return;
   Event& event = tell(EventKind::try_ended, id_of(ticket), found->host);
   event.number = found->tries - 1;
-  event.outcome = outcome_of(end);
+  event.outcome = outcome;
   event.took = loop_.now() - found->sent;
   event.final = found->up || found->over || found->handed_over;
   switch (event.outcome) {
@@ -290,15 +384,17 @@
                 static_cast<int>(event.outcome), event.took / kMs);
   found->out = false;
   const bool unheard = found->handed_over && !found->up && !found->over;
-  if (event.final) held_.erase(id_of(ticket));
+  const bool final = event.final;
   // A connection that stood at a host and can't be had there any more has ended; its client is told so.
-  if (unheard) ++counters_.scrapped, relay_.answer(ticket, "ERR\r\n");
+  if (unheard) return ++counters_.scrapped, answer(id_of(ticket), FinalAnswer::error, "ERR\r\n");
+  if (final) release(id_of(ticket));
 }
 
 void Node::listed(const List& list, EventKind kind) {
   for (const auto& [host, address] : list.addresses) addresses_[host] = address;
   std::set<std::string> up, gone;
   for (const Listing& listing : list.listings) {
+    places_[listing.host] = {listing.host, listing.zone, listing.cell};
     (listing.state == HostState::gone ? gone : up).insert(listing.host);
     if (listing.zone == text(settings_, "zone") && listing.size > 0) near_[listing.host] = listing.size;
   }
@@ -377,12 +473,18 @@
   if (shadow_->off()) spdlog::warn("the watched settings are let go, the node goes on: {}", shadow_->why());
 }
 
-void Node::answer(const std::string& id, const std::string& line) {
+// The one way to a final answer.
+void Node::answer(const std::string& id, FinalAnswer kind, const std::string& line) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   const Ticket ticket = found->second.ticket;
-  held_.erase(found);
-  relay_.answer(ticket, line);
+  const Refusal refusal = ledger_.may_answer(id, kind);
+  // Danger: a rejection says that a repeat is harmless; where it is not, the client is told of a failure.
+  const bool failed_instead = refusal == Refusal::effect_may_repeat;
+  if (refusal != Refusal::none) violated("answer", id, refusal);
+  ledger_.answered(id);
+  release(id);
+  if (refusal == Refusal::none || failed_instead) relay_.answer(ticket, failed_instead ? "ERR\r\n" : line);
 }
 
 void Node::act(const Action& action) {
@@ -394,7 +496,14 @@
       found->second.sent = loop_.now();
       ++found->second.tries;
       found->second.out = true;
-      return relay_.try_at(found->second.ticket, address_of(address(action.host)), action.time);
+      if (const Refusal refusal = begin_attempt(found->second, action.id, action.time, 0);
+          refusal != Refusal::none) {
+        violated("begin an attempt for", action.id, refusal);
+        Event& never = tell(EventKind::try_ended, action.id, action.host);
+        never.number = found->second.tries - 1, never.outcome = Outcome::not_sent, never.final = true;
+        return answer(action.id, FinalAnswer::error, "ERR\r\n");
+      }
+      return;
     case ActionKind::cancel_try:
       if (found != held_.end()) relay_.cancel(found->second.ticket);
       return;
@@ -402,14 +511,16 @@
       ++counters_.rejected;
       spdlog::debug("rejected, back in ms {}, tries {}", action.time / kMs,
                     found == held_.end() ? 0 : found->second.tries);
-      return answer(action.id, action.time > 0 ? "BUSY " + std::to_string(action.time / kMs) + "\r\n"
-                                               : std::string("BUSY\r\n"));
-    case ActionKind::scrap: ++counters_.scrapped; return answer(action.id, "ERR\r\n");
+      return answer(
+          action.id, FinalAnswer::busy,
+          action.time > 0 ? "BUSY " + std::to_string(action.time / kMs) + "\r\n" : std::string("BUSY\r\n"));
+    case ActionKind::scrap: ++counters_.scrapped; return answer(action.id, FinalAnswer::error, "ERR\r\n");
     case ActionKind::move: {
       if (found == held_.end()) return;
       ++counters_.moved;
       spdlog::debug("moved off host {}", found->second.host);
       const Ticket ticket = found->second.ticket;
+      ledger_.answered(action.id);
       found->second.over = true;
       ended(ticket, {Reach::up, Cause::cancelled});
       return relay_.move(ticket);
@@ -435,6 +546,7 @@
   ends_by_ = stopped_at_ + std::min(expiry, kLongestWait) + kBeforeKill;
   tell(EventKind::stopping).expiry = ends_by_ - kLookEvery;
   relay_.hurry(ends_by_ - kLookEvery);
+  ledger_.expire_by(ends_by_);
   loop_.at(close_up_, ends_by_ - kLookEvery / 2, [this] { close_up(); });
   spdlog::info("stopping, connections open {}", relay_.open());
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,8 @@
 #include "node/probes.h"
 #include "node/relay.h"
 #include "node/shadow.h"
+#include "policy/reattach.h"
+#include "policy/request_ledger.h"
 
 namespace dapplewharf {
 
@@ -58,11 +60,14 @@
  private:
   struct Held {
     Ticket ticket;
+    std::string request;  // the client's own id, for the log
     std::string host;
     int tries = 0;
     Tenths sent = 0;
     bool out = false, up = false, over = false;  // over: answered, moved or left
     bool handed_over = false;                    // it stood at its host before this node started
+    bool between_attempts = false;               // of one handed over: the next attempt is yet to begin
+    std::optional<Reattach> reattach;            // of one handed over
   };
   void came(Ticket ticket, const Opening& opening);
   void left(Ticket ticket);
@@ -72,7 +77,15 @@
   void look();
   void exchange();  // what the nodes hold, among them
   void act(const Action& action);
-  void answer(const std::string& id, const std::string& line);
+  void answer(const std::string& id, FinalAnswer kind, const std::string& line);
+  Refusal begin_attempt(Held& held, const std::string& id, Tenths time_out, Tenths connect_time);
+  void reattach(Ticket ticket);
+  bool reattach_later(Ticket ticket, Held& held, TryEnd end);  // false: no further attempt may follow
+  bool allowed_by_list(const Held& held) const;  // nothing new goes to a host announced as leaving
+  HostPlace place_of(const std::string& host) const;
+  RepeatRule repeat_rule_of(const std::string& traffic_type) const;
+  void release(const std::string& id);  // it is no longer held
+  void violated(const std::string& what, const std::string& id, Refusal refusal);
   void subscribe();
   void watch_shadow(const std::vector<Event>& events, const std::vector<Action>& actions);
   void take_settings();                                // what the configuration in force says, for all parts
@@ -100,6 +113,8 @@
   std::map<std::string, double> elsewhere_;  // as last told to the module
   std::vector<Event> events_;
   std::unordered_map<std::string, Held> held_;
+  RequestLedger ledger_;
+  std::map<std::string, HostPlace> places_;  // of the hosts that a list has named
   std::map<std::string, std::string> addresses_;
   std::map<std::string, HostState> leaving_;  // hosts announced as leaving: no try's first byte goes there
   std::map<std::string, Meter> meters_;
--- a/src/node/probes.cpp
+++ b/src/node/probes.cpp
@@ -50,7 +50,11 @@
   const auto to = address_of(line.address);
   const Dial dialled = to ? dial(*to, limits_.descriptors, kProbesLeave, line.socket) : Dial::refused;
   if (dialled != Dial::begun)
-    return over(host, line, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor, false);
+    return over(host, line,
+                dialled == Dial::refused         ? Cause::broken
+                : dialled == Dial::no_descriptor ? Cause::no_descriptor
+                                                 : Cause::local_failure,
+                false);
   line.watched = loop_.watch(line.socket.number(), POLLOUT, [this, host](short) { ready(host); });
 }
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -17,10 +17,13 @@
 constexpr Tenths kGreetingTime = 2 * kSecond;  // for a first line to come whole; three are allowed
 constexpr Tenths kKnownTime = 60 * kSecond;    // for the next, from one that has sent PING
 constexpr int kSilentPart = 8;                 // of the descriptors: those that have not said what they want
-constexpr int kAtOnce = 32;                    // accepted in a turn, so that others have theirs
-constexpr int kPingsAtOnce = 4;                // more in one go are a flood
-constexpr std::size_t kPoured = 64 * 1024;     // taken from one that is told to go, so that it reads why
-constexpr std::size_t kIdsKept = 4096;         // of clients that were held lately
+constexpr Tenths kAcceptPause = 5 * kMs;       // after accept failed
+constexpr Tenths kAcceptFailsFor = kSecond;  // until clients are turned away for it: half a first line's time
+constexpr Tenths kDialPause = 10 * kMs;      // after connecting failed on this machine
+constexpr int kAtOnce = 32;                  // accepted in a turn, so that others have theirs
+constexpr int kPingsAtOnce = 4;              // more in one go are a flood
+constexpr std::size_t kPoured = 64 * 1024;   // taken from one that is told to go, so that it reads why
+constexpr std::size_t kIdsKept = 4096;       // of clients that were held lately
 constexpr int kLoggedASecond = 5;
 constexpr Tenths kClosingTime = kSecond;  // for the last bytes to be taken
 constexpr Tenths kLinger = 5 * kSecond;   // a half-closed connection on which nothing comes
@@ -39,7 +42,7 @@
 
 std::optional<std::string> Relay::listen(const sockaddr_in& at) {
   if (auto fault = listen_at(at, listener_)) return fault;
-  loop_.watch(listener_.number(), POLLIN, [this](short) { accept_all(); });
+  listening_ = loop_.watch(listener_.number(), POLLIN, [this](short) { accept_all(); });
   return std::nullopt;
 }
 
@@ -47,10 +50,13 @@
   for (int i = 0; i < kAtOnce; ++i) {
     Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!taken) {
-      if (errno == EMFILE || errno == ENFILE) turn_away_one();
-      if (errno == ECONNABORTED || errno == EINTR) continue;
+      const int error = errno;
+      if (error == ECONNABORTED || error == EINTR) continue;
+      if (error != EAGAIN && error != EWOULDBLOCK) accept_later(error);
+      else accept_failing_since_ = 0;
       return;
     }
+    accept_failing_since_ = 0;
     ++counters_.accepted;
     const int on = 1;
     setsockopt(taken.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -75,6 +81,24 @@
   }
 }
 
+// Danger: a passing failure of the system is no reason to turn a client away: who waits at the door loses
+// nothing by it. Only where it lasts, or this process has no descriptor left, one of them is told so.
+void Relay::accept_later(int error) {
+  ++counters_.accept_failures;
+  if (accept_failing_since_ == 0) {
+    accept_failing_since_ = loop_.now();
+    if (may_log()) spdlog::warn("accept failed, error {}; tried again", error);
+  }
+  const bool lasts = loop_.now() - accept_failing_since_ >= kAcceptFailsFor;
+  const bool none_left = Socket::short_of(limits_.descriptors, 0);
+  if ((error == EMFILE || error == ENFILE) && (lasts || none_left) && turn_away_one()) return;
+  loop_.want(listening_, 0);  // danger: a door that is not opened would wake poll for ever
+  loop_.at(accept_again_, loop_.now() + kAcceptPause, [this] {
+    loop_.want(listening_, POLLIN);
+    accept_all();
+  });
+}
+
 // Danger: hundreds that connect and say nothing, or PING once, take every descriptor. A usual client sends
 // its line at once, so the longest silent gives way, after one more look at whether it has spoken meanwhile.
 void Relay::evict_one() {
@@ -105,14 +129,14 @@
   taken.finish();
 }
 
-void Relay::turn_away_one() {
+bool Relay::turn_away_one() {
   spare_.close();
-  {
-    Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (taken) turn_away(taken);
-  }
+  Socket taken(accept4(listener_.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  const bool any = static_cast<bool>(taken);
+  if (any) turn_away(taken);
+  taken.close();
   spare_ = Socket(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-  errno = EMFILE;
+  return any;
 }
 
 // Danger: what one connection sends must cost no other.
@@ -121,7 +145,10 @@
     (this->*what)(ticket);
   } catch (const std::exception& error) {
     spdlog::error("connection dropped: {}", error.what());
-    if (Link* link = links_.find(ticket)) finished(ticket, *link);
+    Link* link = links_.find(ticket);
+    if (!link) return;
+    if (link->phase == Phase::waiting) heard_.client_left(ticket);  // nobody is left to be answered
+    finished(ticket, *link);
   }
 }
 
@@ -241,15 +268,32 @@
   // nobody.
   link = with_client(ticket);
   if (!link) return;
+  if (!address) return end_try(ticket, *link, Cause::broken);
+  const Tenths connect_until =
+      std::min(link->try_until, loop_.now() + (connect_time > 0 ? connect_time : limits_.connect_time));
+  dial_host(ticket, *address, connect_until);
+}
+
+// Danger: what fails on this machine for a moment would be taken for the host's fault, or use up all tries of
+// a request at once. Until the time to connect is over it is tried again; the host hears nothing of it.
+void Relay::dial_host(Ticket ticket, const sockaddr_in& address, Tenths connect_until) {
+  Link* link = links_.find(ticket);
+  if (!link || !link->try_out) return;
   if (Socket::short_of(limits_.descriptors, kKeptBack)) evict_one();
-  const Dial dialled =
-      address ? dial(*address, limits_.descriptors, kKeptBack, link->host.socket) : Dial::refused;
-  if (dialled != Dial::begun)
-    return end_try(ticket, *link, dialled == Dial::refused ? Cause::broken : Cause::no_descriptor);
+  switch (dial(address, limits_.descriptors, kKeptBack, link->host.socket)) {
+    case Dial::refused: return end_try(ticket, *link, Cause::broken);
+    case Dial::no_descriptor: return end_try(ticket, *link, Cause::no_descriptor);
+    case Dial::local_failure:
+      ++counters_.local_failures;
+      if (loop_.now() + kDialPause >= connect_until) return end_try(ticket, *link, Cause::local_failure);
+      return loop_.at(link->deadline, loop_.now() + kDialPause, [this, ticket, address, connect_until] {
+        const Link* waiting = links_.find(ticket);
+        if (waiting && waiting->try_out && last_look(ticket)) dial_host(ticket, address, connect_until);
+      });
+    case Dial::begun: break;
+  }
   link->host.watched = loop_.watch(link->host.socket.number(), POLLOUT,
                                    [this, ticket](short) { guarded(ticket, &Relay::host_ready); });
-  const Tenths connect_until =
-      std::min(link->try_until, loop_.now() + (connect_time > 0 ? connect_time : limits_.connect_time));
   times_out(ticket, *link, connect_until);
 }
 
@@ -488,7 +532,7 @@
 bool Relay::accepts_more() {
   const auto before = counters_.accepted;
   accept_all();
-  return counters_.accepted != before;
+  return counters_.accepted != before || accept_failing_since_ != 0;
 }
 
 void Relay::hurry(Tenths until) {
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -16,6 +16,7 @@
 enum class Reach { not_connected, partly_written, written, up };
 enum class Cause {
   no_descriptor,
+  local_failure,  // this machine could not connect for now
   time_out,
   broken,  // refused, reset
   closed,  // an orderly end without a word
@@ -53,8 +54,9 @@
   void answer(Ticket ticket, const std::string& line);  // the final one; nothing follows it
   void move(Ticket ticket);
   std::size_t open() const { return links_.size(); }
-  std::size_t busy();        // those of clients that have said what they want, or begun to
-  bool accepts_more();       // takes in who waits at the door; whether there was anybody
+  std::size_t busy();  // those of clients that have said what they want, or begun to
+  // Takes in who waits at the door; whether there was anybody, or may be: accept failed.
+  bool accepts_more();
   void hurry(Tenths until);  // tries that are out last no longer
   // How long each standing connection's client has waited for a line; 0: it does not.
   template <class Visit>
@@ -99,13 +101,15 @@
   void refuse(Ticket ticket, Link& link, const std::string& fault);
   bool may_log();
   void turn_away(const Socket& taken);
-  void turn_away_one();
+  void accept_later(int error);
+  bool turn_away_one();  // whether there was anybody
   void client_ready(Ticket ticket);
   void host_ready(Ticket ticket);
   static std::optional<std::size_t> take(const Side& from, std::string& to, bool& ended);
   void greet(Ticket ticket, Link& link);
   void greeting_ends(Ticket ticket, Link& link, Tenths after);
-  Link* with_client(Ticket ticket);         // the link of a try that is out; null when its client has gone
+  Link* with_client(Ticket ticket);  // the link of a try that is out; null when its client has gone
+  void dial_host(Ticket ticket, const sockaddr_in& address, Tenths connect_until);
   bool last_look(Ticket ticket);            // false when the try is over
   bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
   void await_up(Ticket ticket, Link& link);
@@ -132,6 +136,9 @@
   const Grammar& grammar_;
   Heard heard_;
   Socket listener_, spare_;
+  Ticket listening_;
+  Loop::Deadline accept_again_;
+  Tenths accept_failing_since_ = 0;  // 0: it does not
   Slots<Link> links_;
   std::deque<Ticket> silent_;      // those that have not said what they want, the longest silent first
   std::set<std::string> ids_;      // of clients that are held
--- a/src/notes.h
+++ b/src/notes.h
@@ -168,6 +168,7 @@
   int looks = 0;          // of an offer: hosts that were looked at for it and passed
   double part = 0;        // of an eviction: the part of the host's groups that is to go
   bool standing = false;  // of a result: the connection had been established
+  bool leaving = false;   // of an eviction: the host drains or is gone
   bool shortage = false;  // of a seek: some attachment found no host a moment ago
   double held = -1;       // of a listing: what its host holds, as the weight tells; below 0: untold
   bool fresh = false;     // of a listing: new to a list that was known
@@ -186,6 +187,7 @@
   std::vector<Try> tries;
   bool standing = false;  // the connection is open
   bool answered = false;  // ended; kept until its last try's result has come
+  bool pending = false;   // handed over, and not up again yet
 };
 
 // The points of the hosts in the order of the ring.
--- /dev/null
+++ b/src/policy/request_ledger.cpp
@@ -0,0 +1,101 @@
+#include "policy/request_ledger.h"
+
+#include <algorithm>
+
+namespace dapplewharf {
+
+const char* name_of(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::none: return "none";
+    case Refusal::unknown_request: return "unknown request";
+    case Refusal::already_answered: return "already answered";
+    case Refusal::client_gone: return "client gone";
+    case Refusal::past_deadline: return "past its deadline";
+    case Refusal::attempt_out: return "another attempt is out";
+    case Refusal::effect_may_repeat: return "an earlier attempt may have run";
+    case Refusal::host_is_leaving: return "its host is leaving";
+  }
+  return "unknown";
+}
+
+void RequestLedger::open(const std::string& id, const RepeatRule& rule, Tenths deadline) {
+  requests_[id] = {rule, deadline, false, false, {}};
+}
+
+void RequestLedger::client_left(const std::string& id) {
+  if (const auto found = requests_.find(id); found != requests_.end()) found->second.client_gone = true;
+}
+
+void RequestLedger::expire_by(Tenths deadline) {
+  for (auto& [id, request] : requests_) request.deadline = std::min(request.deadline, deadline);
+}
+
+bool RequestLedger::repeat_is_dropped(const RepeatRule& rule, const Attempt& earlier, const HostPlace& to,
+                                      Tenths now) {
+  if (rule.effect == Effect::idempotent) return true;
+  if (rule.effect == Effect::unrepeatable || now - earlier.since >= rule.window) return false;
+  if (earlier.to.host == to.host) return true;
+  switch (rule.group) {
+    case RepeatGroup::all: return true;
+    case RepeatGroup::zone: return earlier.to.zone == to.zone;
+    case RepeatGroup::cell: return earlier.to.cell == to.cell;
+  }
+  return false;
+}
+
+Refusal RequestLedger::may_begin(const std::string& id, const HostPlace& to, bool allowed_by_list,
+                                 Tenths now) const {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return Refusal::unknown_request;
+  const Request& request = found->second;
+  if (request.client_gone) return Refusal::client_gone;
+  if (request.answered) return Refusal::already_answered;
+  if (now >= request.deadline) return Refusal::past_deadline;
+  for (const Attempt& earlier : request.attempts) {
+    if (earlier.out) return Refusal::attempt_out;
+    if (earlier.may_have_run && !repeat_is_dropped(request.rule, earlier, to, now))
+      return Refusal::effect_may_repeat;
+  }
+  return allowed_by_list ? Refusal::none : Refusal::host_is_leaving;
+}
+
+void RequestLedger::begun(const std::string& id, const HostPlace& to, Tenths now) {
+  if (const auto found = requests_.find(id); found != requests_.end())
+    found->second.attempts.push_back({to, now, true, true});
+}
+
+void RequestLedger::ended(const std::string& id, bool may_have_run) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.attempts.empty()) return;
+  found->second.attempts.back().out = false;
+  found->second.attempts.back().may_have_run = may_have_run;
+}
+
+Refusal RequestLedger::may_answer(const std::string& id, FinalAnswer answer) const {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return Refusal::unknown_request;
+  const Request& request = found->second;
+  if (request.client_gone) return Refusal::client_gone;
+  // A connection that stands has been answered with UP and may still be told to move.
+  if (request.answered && answer != FinalAnswer::move) return Refusal::already_answered;
+  if (answer != FinalAnswer::busy || request.rule.effect == Effect::idempotent) return Refusal::none;
+  const bool dropped_anywhere =
+      request.rule.effect == Effect::deduplicated && request.rule.group == RepeatGroup::all;
+  for (const Attempt& earlier : request.attempts)
+    if ((earlier.out || earlier.may_have_run) && !dropped_anywhere) return Refusal::effect_may_repeat;
+  return Refusal::none;
+}
+
+void RequestLedger::answered(const std::string& id) {
+  if (const auto found = requests_.find(id); found != requests_.end()) found->second.answered = true;
+}
+
+bool RequestLedger::close(const std::string& id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return false;
+  const bool owed = !found->second.answered && !found->second.client_gone;
+  requests_.erase(found);
+  return owed;
+}
+
+}  // namespace dapplewharf
--- a/src/words.h
+++ b/src/words.h
@@ -66,7 +66,8 @@
   std::optional<std::int64_t> key, group;  // the client key; the group that shares work
   Tenths expiry = 0;                       // when the client gives up; of stopping: when all are answered
   bool mid_flow = false, returned = false, repeated = false;
-  int number = 0;  // of the setup try, or of the alarm
+  bool pending = false;  // of one handed over: its host has not brought it up again yet
+  int number = 0;        // of the setup try, or of the alarm
   Outcome outcome = Outcome::honoured;
   Tenths took = 0;
   bool final = false;
--- a/tests/faults/reattach.cpp
+++ b/tests/faults/reattach.cpp
@@ -150,3 +150,61 @@
   const int client = net.client(line_at("nobody"));
   EXPECT_EQ(net.read(client, 5, kBadClientMs), "ERR\r\n");
 }
+
+TEST(Reattach, AHostsBusySaysThatAnUnrepeatableOneHasNeverRun) {
+  const Cleared cleared;
+  Net net(1024, true, [](Configuration& to) { to.env["lanes"][0]["semantics"] = "at_most_once"; });
+  const int client = net.client(line_at("h1"));
+  net.write(host_with_line(net), "BUSY\r\n");
+  comes_up(net, client);
+}
+
+// The module gives up a host's connections while some that stood there before are not up yet.
+TEST(Reattach, AHostInTroubleGivesUpNothingThatIsNotUpYet) {
+  for (const bool up : {false, true}) {
+    Fake fleet;
+    fleet.silent = {"h1"};
+    fleet.start(3);
+    Event before;
+    before.kind = EventKind::handed_over;
+    before.id = "before", before.host = "h1", before.traffic_type = "plain", before.key = 5;
+    before.pending = true;
+    before.expiry = fleet.now + 400000000;
+    fleet.tell(before);
+    fleet.tries["before"].push_back("h1");
+    if (up) fleet.stand("before");
+    fleet.pass(20 * kSecond);
+    EXPECT_EQ(fleet.moved.size(), up ? 1u : 0u);
+  }
+}
+
+TEST(Accepting, APassingFailureTurnsNobodyAway) {
+  for (const int error : {ENFILE, EMFILE, ENOBUFS, ENOMEM, ECONNABORTED, EPROTO, ENETDOWN, EINTR, EPERM}) {
+    SCOPED_TRACE(error);
+    const Cleared cleared;
+    Net net;
+    // Danger: every second call, so that the one that is made to turn a client away goes well.
+    faults::inject({Call::accept4, error, 1, 0, kMomentMs, ntohs(net.front.sin_port), 0, false, 0, 2});
+    const int client = net.client("OPEN 7c" + std::to_string(error) + " 2e c=plain,t=x,d=2000\r\n");
+    comes_up(net, client);
+  }
+}
+
+TEST(Accepting, AClientAtTheDoorIsAnsweredThoughAcceptFailsAsTheNodeEnds) {
+  const Cleared cleared;
+  Net net;
+  net.node->stop();
+  net.run(900);
+  faults::inject({Call::accept4, ENFILE, 1, 0, kMomentMs, ntohs(net.front.sin_port)});
+  Socket dialled;
+  EXPECT_EQ(dial(net.front, 1024, 0, dialled), Dial::begun);
+  pollfd stands{dialled.number(), POLLOUT, 0};
+  EXPECT_EQ(poll(&stands, 1, 1000), 1);
+  const std::string line = "OPEN 7d1 2e c=plain,t=x,d=2000\r\n";
+  dialled.send(line.data(), line.size());
+  const int client = net.keep(std::move(dialled));
+  EXPECT_FALSE(net.until([&] { return net.node->done(); }, kMomentMs - 50)) << "somebody is at the door";
+  const int host = host_with_line(net);
+  net.write(host, "BUSY\r\n");
+  EXPECT_NE(net.read(client, 4, 3000), "");
+}
--- a/tests/faults/system_faults.cpp
+++ b/tests/faults/system_faults.cpp
@@ -21,6 +21,7 @@
 struct Active {
   Fault fault;
   std::int64_t since_ms = 0;
+  int calls = 0;  // in the fault's span so far
 };
 
 std::int64_t monotonic_ms() {
@@ -80,11 +81,12 @@
 
 // The fault that this call meets, if any; its delay has been waited for.
 const Fault* met(Call call, int port) {
-  for (const Active& active : active_faults()) {
+  for (Active& active : active_faults()) {
     const Fault& fault = active.fault;
     if (fault.call != call || (fault.port != 0 && fault.port != port)) continue;
     const std::int64_t at = monotonic_ms() - active.since_ms;
     if (at < fault.from_ms || (fault.until_ms >= 0 && at >= fault.until_ms)) continue;
+    if (active.calls++ % fault.every != 0) continue;
     if (fault.share < 1 && chance() >= fault.share) continue;
     ++changed_calls;
     if (fault.delay_ms > 0) {
@@ -124,7 +126,7 @@
 
 }  // namespace
 
-void inject(const Fault& fault) { active_faults().push_back({fault, monotonic_ms()}); }
+void inject(const Fault& fault) { active_faults().push_back({fault, monotonic_ms(), 0}); }
 void clear() { active_faults().clear(); }
 std::int64_t hits() { return changed_calls; }
 
--- a/tests/faults/system_faults.h
+++ b/tests/faults/system_faults.h
@@ -21,6 +21,7 @@
   int delay_ms = 0;            // the caller is held up for so long before the call
   bool shortened = false;      // recv, send: one byte at a time
   std::int64_t step_ms = 0;    // clock: added to the wall clock
+  int every = 1;               // only the first call and each so manieth after it
 };
 
 void inject(const Fault& fault);
