A repeat must begin 0.2 s within its window; the first byte is checked against the ledger

A process may be held up for 0.15 s between reading its clock and writing, and connecting may take a second: an attempt that was allowed could reach its host after the window in which repeats are dropped. The ledger is asked again just before the first byte; the module leaves the same margin.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -11,6 +11,7 @@
 
 #include "backoff.h"
 #include "notes.h"
+#include "policy/request_ledger.h"
 
 namespace dapplewharf {
 namespace {
@@ -917,7 +918,7 @@
       if (earlier.out) return false;  // danger: two out; a cancelled one is out until its result has come
       if (!earlier.may_have_run || held.effect == "idempotent") continue;
       if (held.effect != "deduplicated") return false;  // danger: an unrepeatable effect happens twice
-      if (around_.now - earlier.sent >= of_type(held, "repeat_window", 0)) return false;
+      if (around_.now - earlier.sent + kRepeatMargin >= of_type(held, "repeat_window", 0)) return false;
     }
     return true;
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -117,7 +117,8 @@
            [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
            [this](Ticket at) {
              const Held* found = held(at);
-             return !found || allowed_by_list(*found);
+             if (!found) return true;
+             return ledger_.may_send(id_of(at), allowed_by_list(*found), loop_.now()) == Refusal::none;
            },
            [this](Ticket at, Tenths delay) {
              const Held* found = held(at);
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -41,7 +41,7 @@
     std::function<void(Ticket)> client_left;  // before it had its answer
     std::function<void(Ticket)> up;
     std::function<void(Ticket, TryEnd)> over;  // once for each try
-    std::function<bool(Ticket)> wanted;        // whether its try may still begin, as far as the list goes
+    std::function<bool(Ticket)> wanted;        // whether what allowed its try still holds
     std::function<void(Ticket, Tenths)> line_back;
     std::function<void(Ticket, double)> load_told;
   };
--- a/src/policy/request_ledger.cpp
+++ b/src/policy/request_ledger.cpp
@@ -33,7 +33,7 @@
 bool RequestLedger::repeat_is_dropped(const RepeatRule& rule, const Attempt& earlier, const HostPlace& to,
                                       Tenths now) {
   if (rule.effect == Effect::idempotent) return true;
-  if (rule.effect == Effect::unrepeatable || now - earlier.since >= rule.window) return false;
+  if (rule.effect == Effect::unrepeatable || now - earlier.since + kRepeatMargin >= rule.window) return false;
   if (earlier.to.host == to.host) return true;
   switch (rule.group) {
     case RepeatGroup::all: return true;
@@ -51,12 +51,32 @@
   if (request.client_gone) return Refusal::client_gone;
   if (request.answered) return Refusal::already_answered;
   if (now >= request.deadline) return Refusal::past_deadline;
-  for (const Attempt& earlier : request.attempts) {
+  if (const Refusal refusal = effect_allows(request, request.attempts.size(), to, now);
+      refusal != Refusal::none)
+    return refusal;
+  return allowed_by_list ? Refusal::none : Refusal::host_is_leaving;
+}
+
+// Whether the first so many attempts let another one run.
+Refusal RequestLedger::effect_allows(const Request& request, std::size_t attempts, const HostPlace& to,
+                                     Tenths now) {
+  for (std::size_t i = 0; i < attempts; ++i) {
+    const Attempt& earlier = request.attempts[i];
     if (earlier.out) return Refusal::attempt_out;
     if (earlier.may_have_run && !repeat_is_dropped(request.rule, earlier, to, now))
       return Refusal::effect_may_repeat;
   }
-  return allowed_by_list ? Refusal::none : Refusal::host_is_leaving;
+  return Refusal::none;
+}
+
+Refusal RequestLedger::may_send(const std::string& id, bool allowed_by_list, Tenths now) const {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.attempts.empty()) return Refusal::unknown_request;
+  const Request& request = found->second;
+  if (request.client_gone) return Refusal::client_gone;
+  if (request.answered) return Refusal::already_answered;
+  if (!allowed_by_list) return Refusal::host_is_leaving;
+  return effect_allows(request, request.attempts.size() - 1, request.attempts.back().to, now);
 }
 
 void RequestLedger::begun(const std::string& id, const HostPlace& to, Tenths now) {
--- a/src/policy/request_ledger.h
+++ b/src/policy/request_ledger.h
@@ -13,6 +13,10 @@
 
 namespace dapplewharf {
 
+// A process may be held up for 0.15 s between reading its clock and writing (standing test), and what it
+// writes takes a moment to arrive: a repeat has to begin so long before its window ends.
+inline constexpr Tenths kRepeatMargin = 200 * kMs;
+
 enum class Effect { idempotent, deduplicated, unrepeatable };
 enum class RepeatGroup { all, zone, cell };
 
@@ -53,6 +57,9 @@
   // An attempt. `allowed_by_list`: the host is neither draining nor removed, or may be sent this all the
   // same.
   Refusal may_begin(const std::string& id, const HostPlace& to, bool allowed_by_list, Tenths now) const;
+  // Just before the first byte of the attempt that is out: whether what allowed it still holds. Connecting
+  // may have taken long.
+  Refusal may_send(const std::string& id, bool allowed_by_list, Tenths now) const;
   void begun(const std::string& id, const HostPlace& to, Tenths now);
   void ended(const std::string& id, bool may_have_run);
 
@@ -76,6 +83,7 @@
     bool answered = false, client_gone = false;
     std::vector<Attempt> attempts;
   };
+  static Refusal effect_allows(const Request& request, std::size_t attempts, const HostPlace& to, Tenths now);
   static bool repeat_is_dropped(const RepeatRule& rule, const Attempt& earlier, const HostPlace& to,
                                 Tenths now);
 
