--- a/src/fleet/live/hosts.cpp
+++ b/src/fleet/live/hosts.cpp
@@ -672,7 +672,7 @@
             {"hostPort", street_.host(h, node)},
             {"zone", scenario_.zones[static_cast<std::size_t>(planned.zone)]},
             {"machineType", scenario_.kinds[static_cast<std::size_t>(planned.kind)].name},
-            {"cell", planned.zone},
+            {"cell", h},
             {"lifecycle", host.told},
             {"weight", planned.size},
             {"startedAtMs", host.started_unix_ms}};
--- a/src/fleet/live/live.cpp
+++ b/src/fleet/live/live.cpp
@@ -213,7 +213,7 @@
                        {"hostPort", street_.host(static_cast<int>(h), n)},
                        {"zone", scenario_.zones[static_cast<std::size_t>(host.zone)]},
                        {"machineType", scenario_.kinds[static_cast<std::size_t>(host.kind)].name},
-                       {"cell", host.zone},
+                       {"cell", h},  // one each: the auditor takes a cell for a host
                        {"lifecycle", "up"},
                        {"weight", host.size},
                        {"startedAtMs", 0}});
