--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <thread>
 
 namespace dapplewharf {
 namespace {
@@ -64,7 +65,10 @@
   if (!deadlines_.empty()) wait = std::min(wait, deadlines_.begin()->first.when - now_);
   const auto ms = static_cast<int>((std::max<Tenths>(wait, 0) + 9) / 10);  // never before its time
   const int found = poll(polled.data(), polled.size(), ms);
-  if (found < 0 && errno != EINTR) spdlog::error("poll: error {}", errno);
+  if (found < 0 && errno != EINTR) {
+    spdlog::error("poll: error {}", errno);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));  // danger: it may go on failing for a while
+  }
   tick();
   late_ = deadlines_.empty() ? 0 : std::max<Tenths>(now_ - deadlines_.begin()->first.when, 0);
   for (std::size_t i = 0; found > 0 && i < polled.size(); ++i) {
--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -15,6 +15,7 @@
 namespace dapplewharf {
 namespace {
 
+constexpr int kSendTries = 64;
 constexpr int kBindTries = 20, kBindWaitMs = 100;
 
 // Of a read or write on a socket that stands: nothing has happened to the connection.
@@ -24,6 +25,10 @@
 
 }  // namespace
 
+bool is_way_broken(int error) {
+  return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH || error == ENETDOWN;
+}
+
 bool is_local_and_passing(int error) {
   switch (error) {
     case EINTR:
@@ -96,6 +101,14 @@
   return std::nullopt;
 }
 
+void Socket::send_whole(std::string_view bytes) const {
+  for (int i = 0; i < kSendTries && !bytes.empty(); ++i) {
+    const auto sent = send(bytes.data(), bytes.size());
+    if (!sent) return;
+    bytes.remove_prefix(*sent);
+  }
+}
+
 bool Socket::has_news() const {
   char byte;
   return recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || !may_be_called_again(errno);
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/clock.h"
@@ -46,6 +47,9 @@
   // Bytes taken or given; 0 for none now; nothing when the connection is broken. `ended`: no more will come.
   std::optional<std::size_t> receive(std::string& to, std::size_t most, bool& ended) const;
   std::optional<std::size_t> send(const char* bytes, std::size_t size) const;
+  // A few bytes that have to go whole or not matter any more: sent on over short writes and interruptions,
+  // while the system takes them at once.
+  void send_whole(std::string_view bytes) const;
   bool has_news() const;   // bytes to be read, or its end
   bool connected() const;  // asked once poll says that it is writable
 
@@ -68,6 +72,9 @@
 // memory, descriptors or buffers.
 std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket);
 
+// Whether an errno of a read or write says that the way to the peer is broken, while the peer may well live.
+bool is_way_broken(int error);
+
 // Whether an errno of socket, connect, accept or a file's call tells of this machine alone, and may pass.
 bool is_local_and_passing(int error);
 
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -27,11 +27,18 @@
   return from[name].get<std::string>();
 }
 
+// A file that could not be read: it may be in the middle of being replaced, or the system short of something.
+struct Unreadable : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 json platform_file(const std::string& path) {
   if (path.empty()) throw std::runtime_error("PROXY_CONFIG is not set");
   std::ifstream file(path);
-  if (!file) throw std::runtime_error("PROXY_CONFIG cannot be read: " + path);
-  json from = json::parse(file, nullptr, false);
+  if (!file) throw Unreadable("PROXY_CONFIG cannot be read: " + path);
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (file.bad()) throw Unreadable("PROXY_CONFIG cannot be read: " + path);
+  json from = json::parse(text, nullptr, false);
   if (!from.is_object()) throw std::runtime_error("PROXY_CONFIG is no JSON object: " + path);
   return from;
 }
@@ -198,6 +205,8 @@
     if (!shadow.empty()) read.taken->shadow = shadow_settings(shadow);
     read.taken->log = log;
     return read;
+  } catch (const Unreadable& error) {
+    return {std::nullopt, error.what(), true};
   } catch (const std::exception& error) { return {std::nullopt, error.what()}; }
 }
 
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -32,7 +32,8 @@
 
 struct Read {
   std::optional<Configuration> taken;
-  std::string fault;  // what is wrong, where there is none
+  std::string fault;        // what is wrong, where there is none
+  bool unreadable = false;  // a file could not be read, which may pass
 };
 
 // At the start what the environment says goes before the platform's file; at a reload it is stale and the
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -12,7 +12,7 @@
 #include <stdexcept>
 
 #include "base/log.h"
-#include "node/node.h"
+#include "node/reload.h"
 #include "notes.h"
 
 using namespace dapplewharf;
@@ -28,6 +28,7 @@
   errno = kept;
 }
 
+constexpr int kPipeTries = 20, kPipeWaitUs = 50000;
 constexpr const char* kVersion = "0.2.0";
 
 // The files to read, or the exit code of a call that only asks something.
@@ -77,17 +78,21 @@
   if (asked.code) return *asked.code;
   open_log();
   try {
-    if (pipe2(signal_pipe, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for signals");
+    for (int i = 1; pipe2(signal_pipe, O_NONBLOCK | O_CLOEXEC) != 0; ++i) {
+      if (i == kPipeTries) throw std::runtime_error("no pipe for signals");
+      usleep(kPipeWaitUs);  // danger: a system short of descriptors for a moment would refuse the start
+    }
     // Danger: a SIGHUP that comes before the node is ready would end it.
     for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) std::signal(number, on_signal);
     std::signal(SIGPIPE, SIG_IGN);
-    Read first = read_configuration(asked.files, Source::environment_first);
+    Read first = read_at_start(asked.files);
     if (!first.taken) throw std::runtime_error(first.fault);
     first.taken->descriptors = descriptor_limit(first.taken->descriptors);
     set_log(first.taken->log);
     Loop loop;
     Node node(loop, std::move(*first.taken));
-    loop.watch(signal_pipe[0], POLLIN, [&node, &asked](short) {
+    Reloader reloader(loop, node, asked.files);
+    loop.watch(signal_pipe[0], POLLIN, [&node, &reloader](short) {
       char bytes[64];
       const ssize_t got = read(signal_pipe[0], bytes, sizeof bytes);
       bool anew = false;  // however many came: the file as it is now is what counts
@@ -95,7 +100,7 @@
         if (bytes[i] == SIGUSR1) node.report();
         else if (bytes[i] == SIGHUP) anew = true;
         else node.stop();
-      if (anew) node.reload(read_configuration(asked.files, Source::file_only));
+      if (anew) reloader.reload();
     });
     if (const auto fault = node.start()) throw std::runtime_error("'listen' cannot be used: " + *fault);
     spdlog::info("started");
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::size_t kLongestWord = 256;
-constexpr int kAtOnce = 64;  // words read in one turn: a flood waits, and is dropped by the system
+constexpr Tenths kOpenEvery = kSecond;  // while the address cannot be listened at
+constexpr int kAtOnce = 64;             // words read in one turn: a flood waits, and is dropped by the system
 
 bool same(const sockaddr_in& a, const sockaddr_in& b) {
   return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
@@ -22,9 +23,18 @@
   if (!at || settings.peers.size() < 2) return;
   for (const std::string& peer : settings.peers)
     addresses_.push_back(address_of(peer).value_or(sockaddr_in{}));
+  listen_ = *at;
+  open();
+}
+
+// Danger: a system that is short of something for a moment would leave this node alone for good.
+void Peers::open() {
+  opened_at_ = loop_.now();
   Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!socket || bind(socket.number(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0) {
-    spdlog::warn("no words with other nodes: {} cannot be listened at, error {}", settings.listen, errno);
+  if (!socket || bind(socket.number(), reinterpret_cast<const sockaddr*>(&*listen_), sizeof *listen_) != 0) {
+    const int error = errno;
+    if (!std::exchange(told_, true))
+      spdlog::warn("no words with other nodes: their address cannot be listened at, error {}", error);
     return;
   }
   socket_ = std::move(socket);
@@ -32,6 +42,7 @@
 }
 
 void Peers::tell(const Tally::Counts& counts) {
+  if (!socket_ && listen_ && loop_.now() - opened_at_ >= kOpenEvery) open();
   if (!socket_) return;
   const std::vector<int> others = tally_.tell_to(loop_.now(), counts);
   if (others.empty()) return;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -19,17 +19,21 @@
  public:
   Peers(Loop& loop, Counters& counters, const PeerSettings& settings, std::uint64_t seed);
 
-  explicit operator bool() const { return static_cast<bool>(socket_); }  // whether any words go or come
-  void tell(const Tally::Counts& counts);                                // if it is time to
+  explicit operator bool() const { return listen_.has_value(); }  // whether any words may go or come
+  void tell(const Tally::Counts& counts);                         // if it is time to
   std::optional<double> elsewhere(const std::string& host) const;
 
  private:
   void read();
+  void open();
 
   Loop& loop_;
   Counters& counters_;
   Tally tally_;
   std::vector<sockaddr_in> addresses_;
+  std::optional<sockaddr_in> listen_;
+  Tenths opened_at_ = 0;  // when that was last tried
+  bool told_ = false;     // that it failed
   Socket socket_;
 };
 
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -107,7 +107,7 @@
     guarded(ticket, &Relay::client_ready);
     if (silent_.empty() || !(silent_.front() == ticket)) continue;
     ++counters_.evicted;
-    links_.find(ticket)->client.socket.send("BUSY\r\n", 6);
+    links_.find(ticket)->client.socket.send_whole("BUSY\r\n");
     return drop(ticket);
   }
 }
@@ -125,7 +125,7 @@
 
 void Relay::turn_away(const Socket& taken) {
   ++counters_.no_descriptor;
-  taken.send("BUSY\r\n", 6);
+  taken.send_whole("BUSY\r\n");
   taken.finish();
 }
 
@@ -229,7 +229,7 @@
     if (line == "PING\r\n" && pings < kPingsAtOnce) {
       ++counters_.greeted;
       link.early.erase(0, end + 1);
-      link.client.socket.send("PONG\r\n", 6);
+      link.client.socket.send_whole("PONG\r\n");
       greeting_ends(ticket, link, kKnownTime);
       std::erase(silent_, ticket);
       silent_.push_back(ticket);
@@ -353,7 +353,7 @@
   if (!host.in_ended && before < kBuffer) {
     bool ended = false;
     const auto got = take(host, link->client.out, ended);
-    if (!got) return broke(ticket, *link, link->client);
+    if (!got) return host_broke(ticket, *link);
     if (ended) host.in_ended = true, set_linger(ticket);
     from_host(ticket, *link, before);
     if (link->phase != Phase::relaying) return;  // moved
@@ -472,7 +472,7 @@
 }
 
 void Relay::settle(Ticket ticket, Link& link) {
-  if (!flush(link, link.host, link.client)) return broke(ticket, link, link.client);
+  if (!flush(link, link.host, link.client)) return host_broke(ticket, link);
   if (!flush(link, link.client, link.host)) {
     link.client_first = link.client_first || !link.host.in_ended;
     return broke(ticket, link, link.host);
@@ -486,9 +486,17 @@
   loop_.want(link.host.watched, events(link.host, link.client, !link.host.out.empty()));
 }
 
+// Danger: a host that cannot be reached any more may live and answer others; a client that is cut off without
+// MOVE would not come again. What a host has reset it has ended, and the client's side ends alike.
+void Relay::host_broke(Ticket ticket, Link& link) {
+  if (!is_way_broken(errno) || link.client.out_ended) return broke(ticket, link, link.client);
+  end_try(ticket, link, Cause::broken);
+  move(ticket);
+}
+
 // One side broke: the other gets what it is owed, then a reset.
 void Relay::broke(Ticket ticket, Link& link, Side& other) {
-  if (!other.out.empty()) other.socket.send(other.out.data(), other.out.size());
+  other.socket.send_whole(other.out);
   other.socket.abort();
   finished(ticket, link);
 }
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -122,6 +122,7 @@
   void settle(Ticket ticket, Link& link);
   static std::size_t may_go(const Link& link);  // to the client
   bool flush(Link& link, Side& side, const Side& other);
+  void host_broke(Ticket ticket, Link& link);
   void broke(Ticket ticket, Link& link, Side& other);
   void finished(Ticket ticket, Link& link);
   void set_linger(Ticket ticket);
--- a/tests/faults/system_faults.cpp
+++ b/tests/faults/system_faults.cpp
@@ -117,8 +117,15 @@
   return port_of(reinterpret_cast<const sockaddr*>(&at));
 }
 
-std::size_t allowed(Call call, std::size_t size, bool& failed) {
-  const Fault* fault = met(call, 0);
+int peer_port(int descriptor) {
+  sockaddr_in to{};
+  socklen_t size = sizeof to;
+  if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&to), &size) != 0) return 0;
+  return port_of(reinterpret_cast<const sockaddr*>(&to));
+}
+
+std::size_t allowed(Call call, int descriptor, std::size_t size, bool& failed) {
+  const Fault* fault = met(call, peer_port(descriptor));
   failed = fault && fault->error != 0;
   if (failed) errno = fault->error;
   return fault && fault->shortened && size > 1 ? 1 : size;
@@ -153,14 +160,14 @@
 
 ssize_t recv(int descriptor, void* to, size_t size, int flags) {
   bool failed = false;
-  const std::size_t most = allowed(Call::recv, size, failed);
+  const std::size_t most = allowed(Call::recv, descriptor, size, failed);
   if (failed) return -1;
   return syscall(SYS_recvfrom, descriptor, to, most, flags, nullptr, nullptr);
 }
 
 ssize_t send(int descriptor, const void* from, size_t size, int flags) {
   bool failed = false;
-  const std::size_t most = allowed(Call::send, size, failed);
+  const std::size_t most = allowed(Call::send, descriptor, size, failed);
   if (failed) return -1;
   return syscall(SYS_sendto, descriptor, from, most, flags, nullptr, 0);
 }
--- a/tests/faults/system_faults.h
+++ b/tests/faults/system_faults.h
@@ -17,11 +17,11 @@
   double share = 1;            // of the calls in the span
   std::int64_t from_ms = 0;    // of the monotonic clock, since the fault was set
   std::int64_t until_ms = -1;  // below 0: for good
-  int port = 0;                // connect: only to it; accept4: only at it; 0: any
-  int delay_ms = 0;            // the caller is held up for so long before the call
-  bool shortened = false;      // recv, send: one byte at a time
-  std::int64_t step_ms = 0;    // clock: added to the wall clock
-  int every = 1;               // only the first call and each so manieth after it
+  int port = 0;              // connect, recv, send: only where it is the peer.s; accept4: only at it; 0: any
+  int delay_ms = 0;          // the caller is held up for so long before the call
+  bool shortened = false;    // recv, send: one byte at a time
+  std::int64_t step_ms = 0;  // clock: added to the wall clock
+  int every = 1;             // only the first call and each so manieth after it
 };
 
 void inject(const Fault& fault);
