--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kSendTries = 64;
+constexpr int kPassingTries = 80;  // 8 s: a restarted process is to be ready within 10 s
 constexpr int kBindTries = 20, kBindWaitMs = 100;
 
 // Of a read or write on a socket that stands: nothing has happened to the connection.
@@ -146,8 +147,8 @@
     }
     // Danger: at a restart the process before this one may not quite have gone. An address that is not this
     // machine's never becomes it.
-    const bool passes = errno == EADDRINUSE || (is_local_and_passing(errno) && errno != EADDRNOTAVAIL);
-    if (!passes || i + 1 >= kBindTries) return std::string(std::strerror(errno));
+    const bool taken = errno == EADDRINUSE, passes = is_local_and_passing(errno) && errno != EADDRNOTAVAIL;
+    if (i + 1 >= (taken ? kBindTries : passes ? kPassingTries : 0)) return std::string(std::strerror(errno));
     poll(nullptr, 0, kBindWaitMs);
   }
 }
--- a/src/base/socket.h
+++ b/src/base/socket.h
@@ -68,8 +68,8 @@
 enum class Dial { begun, refused, no_descriptor, local_failure };
 // A connection in the making; poll says when it stands. Leaves the last `kept_back` of `limit` descriptors.
 Dial dial(const sockaddr_in& to, int limit, int kept_back, Socket& socket);
-// What went wrong, if anything. Waits up to 2 s for an address that is still taken, or a system short of
-// memory, descriptors or buffers.
+// What went wrong, if anything. Waits up to 2 s for an address that is still taken, up to 8 s for a system
+// short of memory, descriptors or buffers.
 std::optional<std::string> listen_at(const sockaddr_in& at, Socket& socket);
 
 // Whether an errno of a read or write says that the way to the peer is broken, while the peer may well live.
--- a/src/fleet/audit/audit.cpp
+++ b/src/fleet/audit/audit.cpp
@@ -34,6 +34,8 @@
   ++totals_.asked;
   Attachment& held = held_[id];
   held.node = node, held.traffic = traffic, held.asked = when, held.resumed = resumed;
+  // What is written as its process dies is read by nobody.
+  held.owed = killed_.count(node) == 0;
 }
 
 Tenths Audit::expiry(const Attachment& held) const {
@@ -149,6 +151,7 @@
 }
 
 void Audit::node_lost(int node, Tenths when) {
+  killed_.insert(node);
   for (auto& [id, held] : held_) {
     if (held.node != node || !held.owed) continue;
     held.owed = false;
@@ -161,7 +164,7 @@
 void Audit::node_stops(int node) { stopping_[node] = true; }
 
 void Audit::node_new(int node) {
-  stopping_.erase(node);
+  stopping_.erase(node), killed_.erase(node);
   std::erase_if(leaving_, [&](const auto& one) { return one.first.first == node; });
 }
 
--- a/src/fleet/soak.cpp
+++ b/src/fleet/soak.cpp
@@ -153,11 +153,11 @@
   const int read_errors[] = {EINTR, ENOBUFS, EAGAIN};
   for (int i = 0; i < 2; ++i) {
     if (chance.share() < 0.4) continue;
-    const auto from = static_cast<int>(chance.between(0, 6000)),
-               until = from + static_cast<int>(chance.between(50, 800));
-    const double share = chance.between(0.1, 1);
+    // For a moment, at the start of a process or later.
+    const auto from = chance.share() < 0.5 ? 0 : static_cast<int>(chance.between(0, 6000));
+    const int until = from + static_cast<int>(chance.between(50, 800));
     const std::string span =
-        fmt::format(",from_ms={},until_ms={},share={:.2f};", chance.share() < 0.5 ? 0 : from, until, share);
+        fmt::format(",from_ms={},until_ms={},share={:.2f};", from, until, chance.between(0.1, 1));
     switch (chance.index(8)) {
       case 0:
       case 1: text += fmt::format("connect,errno={}", one_of(chance, connect_errors)) + span; break;
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -13,11 +13,12 @@
 namespace dapplewharf {
 namespace {
 
-constexpr std::size_t kBuffer = 8 * 1024;      // bytes held for one side before the other is no longer read
-constexpr Tenths kGreetingTime = 2 * kSecond;  // for a first line to come whole; three are allowed
-constexpr Tenths kKnownTime = 60 * kSecond;    // for the next, from one that has sent PING
-constexpr int kSilentPart = 8;                 // of the descriptors: those that have not said what they want
-constexpr Tenths kAcceptPause = 5 * kMs;       // after accept failed
+constexpr std::size_t kBuffer = 8 * 1024;       // bytes held for one side before the other is no longer read
+constexpr Tenths kGreetingTime = 2 * kSecond;   // for a first line to come whole; three are allowed
+constexpr Tenths kKnownTime = 60 * kSecond;     // for the next, from one that has sent PING
+constexpr Tenths kLineComesWithin = 200 * kMs;  // after its connection, a usual client's line
+constexpr int kSilentPart = 8;                  // of the descriptors: those that have not said what they want
+constexpr Tenths kAcceptPause = 5 * kMs;        // after accept failed
 constexpr Tenths kAcceptFailsFor = kSecond;  // until clients are turned away for it: half a first line's time
 constexpr Tenths kDialPause = 10 * kMs;      // after connecting failed on this machine
 constexpr int kAtOnce = 32;                  // accepted in a turn, so that others have theirs
@@ -60,8 +61,7 @@
     ++counters_.accepted;
     const int on = 1;
     setsockopt(taken.number(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const bool crowded = silent_.size() >= static_cast<std::size_t>(limits_.descriptors / kSilentPart);
-    if (crowded || Socket::short_of(limits_.descriptors, kKeptBack / 2)) evict_one();
+    if (crowded() || Socket::short_of(limits_.descriptors, kKeptBack / 2)) evict_one();
     // Danger: with all descriptors taken clients would hang unheard; the last ones serve to turn them away.
     if (Socket::short_of(limits_.descriptors, kKeptBack / 2)) {
       turn_away(taken);
@@ -75,12 +75,20 @@
     held.client.watched =
         loop_.watch(descriptor, POLLIN, [this, ticket](short) { guarded(ticket, &Relay::client_ready); });
     greeting_ends(ticket, held, kGreetingTime);
+    held.silent_since = loop_.now();
     silent_.push_back(ticket);
     // Its line may have come with it: then it is not one of the silent.
     guarded(ticket, &Relay::client_ready);
   }
 }
 
+// Whether those that say nothing hold more than their part. Danger: many usual clients that come at once are
+// silent for a moment, each until its line has come; they do not give way to one another.
+bool Relay::crowded() {
+  if (silent_.size() < static_cast<std::size_t>(limits_.descriptors / kSilentPart)) return false;
+  return loop_.now() - links_.find(silent_.front())->silent_since >= kLineComesWithin;
+}
+
 // Danger: a passing failure of the system is no reason to turn a client away: who waits at the door loses
 // nothing by it. Only where it lasts, or this process has no descriptor left, one of them is told so.
 void Relay::accept_later(int error) {
@@ -232,6 +240,7 @@
       link.client.socket.send_whole("PONG\r\n");
       greeting_ends(ticket, link, kKnownTime);
       std::erase(silent_, ticket);
+      link.silent_since = loop_.now();
       silent_.push_back(ticket);
       continue;
     }
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -79,6 +79,7 @@
     Phase phase = Phase::greeting;
     Side client, host;
     Loop::Deadline deadline;
+    Tenths silent_since = 0;
     std::string early;  // what the client sent, up to its first line
     Opening opening;
     bool try_out = false;
@@ -97,6 +98,7 @@
   };
 
   void accept_all();
+  bool crowded();
   void evict_one();
   void refuse(Ticket ticket, Link& link, const std::string& fault);
   bool may_log();
--- a/tests/faults/passing.cpp
+++ b/tests/faults/passing.cpp
@@ -78,6 +78,7 @@
   const int known = net.client("PING\r\n");
   EXPECT_EQ(net.read(known, 6), "PONG\r\n");
   const int longest = net.client("");
+  net.run(200);  // it had its time
   for (int i = 0; i < 12; ++i) net.client("");
   EXPECT_EQ(net.read(longest, 6), "BUSY\r\n") << "the longest silent gives way";
 }
@@ -144,3 +145,16 @@
   EXPECT_FALSE(listen_at(at, taken));
   EXPECT_TRUE(taken);
 }
+
+TEST_F(Passing, ManyUsualClientsThatComeAtOnceDoNotGiveWayToOneAnother) {
+  Net net(128);  // an eighth of them, 16, for silent clients
+  std::vector<int> clients;
+  for (int i = 0; i < 30; ++i) {
+    Socket socket;
+    EXPECT_EQ(dial(net.front, 1024, 0, socket), Dial::begun);
+    clients.push_back(net.keep(std::move(socket)));
+  }
+  net.run(20);  // the node has accepted them all, and none has said anything yet
+  for (const int client : clients) net.write(client, "PING\r\n");
+  for (const int client : clients) EXPECT_EQ(net.read(client, 6), "PONG\r\n");
+}
