--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS ?= build-tools
 NODE_NEEDS = cmake g++ make nlohmann-json3-dev libsimdjson-dev libspdlog-dev tao-pegtl-dev libcli11-dev
 TOOL_NEEDS = $(NODE_NEEDS) libtomlplusplus-dev libpcg-cpp-dev libxxhash-dev libboost-dev gnuplot-nox
-TEST_NEEDS = $(TOOL_NEEDS) libgtest-dev librapidcheck-dev procps clang libclang-rt-14-dev
+TEST_NEEDS = $(TOOL_NEEDS) libgtest-dev librapidcheck-dev procps clang clang-format libclang-rt-14-dev
 
 .PHONY: build tools demo test fuzz needs lint format run clean
 build:
--- a/src/fleet/model/scenario.cpp
+++ b/src/fleet/model/scenario.cpp
@@ -146,10 +146,12 @@
      "drain: how the host sends its clients away; hosts.goaway otherwise"},
 };
 
+// In the order of Ill.
 constexpr const char* kKindNames[] = {
-    "silent",         "slow",        "failing",  "hang",    "vanish",     "restart",   "drain",
-    "neighbour",      "drop",        "burst",    "grow",    "list_stale", "list_down", "node_killed",
-    "node_restarted", "node_reload", "zone_cut", "one_way", "hush"};
+    "silent",      "slow",           "failing",     "hang",     "vanish",  "restart",    "drain",
+    "neighbour",   "reset",          "drop",        "burst",    "grow",    "list_stale", "list_down",
+    "node_killed", "node_restarted", "node_reload", "zone_cut", "one_way", "hush",       "crowd"};
+static_assert(std::size(kKindNames) == static_cast<std::size_t>(Ill::crowd) + 1);
 
 bool allowed(const char* words, const std::string& word) {
   std::istringstream in(words);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -111,27 +111,27 @@
       configuration_(std::move(configuration)),
       settings_(settings_of(configuration_.env)),
       choice_(settings_, configuration_.seed, loop.now()),
-      relay_(
-          loop, counters_, limits_, grammar_,
-          {[this](Ticket at, const Opening& opening) { came(at, opening); }, [this](Ticket at) { left(at); },
-           [this](Ticket at) { up(at); }, [this](Ticket at, TryEnd end) { ended(at, end); },
-           [this](Ticket at) {
-             const Held* found = held(at);
-             if (!found) return true;
-             return ledger_.may_send(id_of(at), allowed_by_list(*found), loop_.now()) == Refusal::none;
-           },
-           [this](Ticket at, Tenths delay) {
-             const Held* found = held(at);
-             if (found && loop_.late() < kHeldUp) meters_[found->host].line_back(loop_.now(), delay);
-           },
-           [this](Ticket at, double load) {
-             if (const Held* found = held(at))
-               tell(EventKind::load_told, id_of(at), found->host).figure = load;
-           }}),
+      relay_(loop, counters_, limits_, grammar_,
+             {[this](Ticket at, const Opening& opening) { on_request(at, opening); },
+              [this](Ticket at) { on_client_left(at); }, [this](Ticket at) { on_established(at); },
+              [this](Ticket at, TryEnd end) { on_attempt_ended(at, end); },
+              [this](Ticket at) {
+                const HeldRequest* found = held(at);
+                if (!found) return true;
+                return ledger_.may_send(id_of(at), allowed_by_list(*found), loop_.now()) == Refusal::none;
+              },
+              [this](Ticket at, Tenths delay) {
+                const HeldRequest* found = held(at);
+                if (found && loop_.late() < kHeldUp) meters_[found->host].line_back(loop_.now(), delay);
+              },
+              [this](Ticket at, double load) {
+                if (const HeldRequest* found = held(at))
+                  tell(EventKind::load_told, id_of(at), found->host).figure = load;
+              }}),
       discovery_(loop, counters_, configuration_.discovery, limits_, configuration_.seed,
                  {[this](const List& list) {
                     losses_ = 0;
-                    listed(list, list.whole ? EventKind::list_whole : EventKind::list_changes);
+                    on_list(list, list.whole ? EventKind::list_whole : EventKind::list_changes);
                   },
                   [this] {
                     ++losses_;
@@ -183,10 +183,10 @@
   } catch (const std::exception& error) {
     spdlog::warn("the list known before is not usable: {}", error.what());
   }
-  listed(known, EventKind::list_copy);
+  on_list(known, EventKind::list_copy);
   settle();
   subscribe();
-  look();
+  sample_delays();
   const auto at = address_of(configuration_.listen);
   return at ? relay_.listen(*at) : std::string("no address of the form a.b.c.d:port");
 }
@@ -215,13 +215,13 @@
   return event;
 }
 
-Node::Held* Node::held(Ticket ticket) {
+Node::HeldRequest* Node::held(Ticket ticket) {
   const auto found = held_.find(id_of(ticket));
   return found == held_.end() ? nullptr : &found->second;
 }
 
-void Node::came(Ticket ticket, const Opening& opening) {
-  Held made;
+void Node::on_request(Ticket ticket, const Opening& opening) {
+  HeldRequest made;
   made.ticket = ticket;
   Event& event = tell(opening.at.empty() ? EventKind::attachment : EventKind::handed_over, id_of(ticket));
   event.traffic_type = opening.traffic_type;
@@ -265,7 +265,7 @@
           static_cast<Tenths>(number(settings_, at + "repeat_window", 0))};
 }
 
-bool Node::allowed_by_list(const Held& held) const {
+bool Node::allowed_by_list(const HeldRequest& held) const {
   if (held.handed_over) return true;  // nothing new: it stood there before
   const auto leaves = leaving_.find(held.host);
   return leaves == leaving_.end() || (drain_alone_ && leaves->second == HostState::gone);
@@ -284,30 +284,30 @@
 }
 
 // The one way to an attempt: nothing goes to a host that the ledger refuses.
-Refusal Node::begin_attempt(Held& held, const std::string& id, Tenths time_out, Tenths connect_time) {
+Refusal Node::start_attempt(HeldRequest& held, const std::string& id, Tenths time_out, Tenths connect_time) {
   const HostPlace place = place_of(held.host);
   const Refusal refusal = ledger_.may_begin(id, place, true, loop_.now());  // the list: at the last look
   if (refusal != Refusal::none) return refusal;
   ledger_.begun(id, place, loop_.now());
-  relay_.try_at(held.ticket, address_of(address(held.host)), time_out, connect_time);
+  relay_.begin_attempt(held.ticket, address_of(address(held.host)), time_out, connect_time);
   return Refusal::none;
 }
 
 void Node::reattach(Ticket ticket) {
-  Held* found = held(ticket);
-  if (!found || found->up || found->over) return;
+  HeldRequest* found = held(ticket);
+  if (!found || found->up || found->client_done) return;
   found->between_attempts = false;
   Tenths time = found->reattach->attempt_time(loop_.now());
   if (stopping_) time = std::max<Tenths>(1, std::min(time, ends_by_ - kLookEvery - loop_.now()));
-  const Refusal refusal = begin_attempt(*found, id_of(ticket), time, time);
+  const Refusal refusal = start_attempt(*found, id_of(ticket), time, time);
   if (refusal == Refusal::none) return;
   found->between_attempts = true;
-  ended(ticket, {Reach::not_connected, Cause::withdrawn});
+  on_attempt_ended(ticket, {Reach::not_connected, Cause::withdrawn});
 }
 
 // Danger: the platform allows 40 s for a connection from before to come up again, and counts it as lost after
 // that. No single failure ends it: only a rule, its client, its host's leaving or the end of that time does.
-bool Node::reattach_later(Ticket ticket, Held& held, TryEnd end) {
+bool Node::reattach_later(Ticket ticket, HeldRequest& held, TryEnd end) {
   if (held.between_attempts) return false;  // the ledger has refused
   const std::string id = id_of(ticket);
   const bool listed = !address(held.host).empty();
@@ -332,18 +332,18 @@
   return true;
 }
 
-void Node::left(Ticket ticket) {
-  Held* found = held(ticket);
+void Node::on_client_left(Ticket ticket) {
+  HeldRequest* found = held(ticket);
   if (!found) return;
   tell(EventKind::client_left, id_of(ticket));
   ledger_.client_left(id_of(ticket));
   if (!found->out) return release(id_of(ticket));
-  found->over = true;
-  if (found->between_attempts) ended(ticket, {Reach::not_connected, Cause::client});
+  found->client_done = true;
+  if (found->between_attempts) on_attempt_ended(ticket, {Reach::not_connected, Cause::client});
 }
 
-void Node::up(Ticket ticket) {
-  Held* found = held(ticket);
+void Node::on_established(Ticket ticket) {
+  HeldRequest* found = held(ticket);
   if (!found) return;
   if (const Refusal refusal = ledger_.may_answer(id_of(ticket), FinalAnswer::up); refusal != Refusal::none)
     violated("pass on UP to", id_of(ticket), refusal);
@@ -356,19 +356,19 @@
                 found->handed_over ? ", from before" : "");
 }
 
-void Node::ended(Ticket ticket, TryEnd end) {
-  Held* found = held(ticket);
+void Node::on_attempt_ended(Ticket ticket, TryEnd end) {
+  HeldRequest* found = held(ticket);
   if (!found || !found->out) return;
   const Outcome outcome = outcome_of(end);
   if (!found->between_attempts)
     ledger_.ended(id_of(ticket), outcome != Outcome::turned_away && outcome != Outcome::no_connection &&
                                      outcome != Outcome::not_sent && outcome != Outcome::withdrawn);
-  if (found->handed_over && !found->up && !found->over && reattach_later(ticket, *found, end)) return;
+  if (found->handed_over && !found->up && !found->client_done && reattach_later(ticket, *found, end)) return;
   Event& event = tell(EventKind::try_ended, id_of(ticket), found->host);
   event.number = found->tries - 1;
   event.outcome = outcome;
   event.took = loop_.now() - found->sent;
-  event.final = found->up || found->over || found->handed_over;
+  event.final = found->up || found->client_done || found->handed_over;
   switch (event.outcome) {
     case Outcome::honoured: ++counters_.ended; break;
     case Outcome::error: ++counters_.errors; break;
@@ -384,14 +384,14 @@
   spdlog::debug("host {} ended a {}, outcome {}, after ms {}", found->host, found->up ? "connection" : "try",
                 static_cast<int>(event.outcome), event.took / kMs);
   found->out = false;
-  const bool unheard = found->handed_over && !found->up && !found->over;
+  const bool unheard = found->handed_over && !found->up && !found->client_done;
   const bool final = event.final;
   // A connection that stood at a host and can't be had there any more has ended; its client is told so.
   if (unheard) return ++counters_.scrapped, answer(id_of(ticket), FinalAnswer::error, "ERR\r\n");
   if (final) release(id_of(ticket));
 }
 
-void Node::listed(const List& list, EventKind kind) {
+void Node::on_list(const List& list, EventKind kind) {
   for (const auto& [host, address] : list.addresses) addresses_[host] = address;
   std::set<std::string> up, gone;
   for (const Listing& listing : list.listings) {
@@ -412,16 +412,16 @@
   tell(kind).listings = list.listings;
 }
 
-void Node::look() {
+void Node::sample_delays() {
   const Tenths since = loop_.now() - looked_at_;
   looked_at_ = loop_.now();
-  loop_.at(look_, looked_at_ + kLookEvery, [this] { look(); });
+  loop_.at(look_, looked_at_ + kLookEvery, [this] { sample_delays(); });
   if (shadow_) watch_shadow({}, {});  // its alarm may be due
   exchange();
   std::map<std::string, std::pair<std::string, std::vector<Tenths>>> hosts;  // a connection there; the ages
   if (loop_.late() >= kHeldUp) return;  // danger: after a pause every line seems unanswered
   relay_.each_standing([&](Ticket ticket, Tenths unanswered) {
-    const Held* found = held(ticket);
+    const HeldRequest* found = held(ticket);
     if (!found || !found->up) return;
     auto& [id, ages] = hosts[found->host];
     id = id_of(ticket);
@@ -448,7 +448,7 @@
   if (!peers_) return;  // counting what is held costs a walk over all of it
   Tally::Counts counts;
   for (const auto& [id, one] : held_)
-    if (one.out && !one.over) ++counts[one.host];
+    if (one.out && !one.client_done) ++counts[one.host];
   peers_.tell(counts);
   for (const auto& [host, address] : addresses_) {
     const double held = peers_.elsewhere(host).value_or(-1);
@@ -497,7 +497,7 @@
       found->second.sent = loop_.now();
       ++found->second.tries;
       found->second.out = true;
-      if (const Refusal refusal = begin_attempt(found->second, action.id, action.time, 0);
+      if (const Refusal refusal = start_attempt(found->second, action.id, action.time, 0);
           refusal != Refusal::none) {
         violated("begin an attempt for", action.id, refusal);
         Event& never = tell(EventKind::try_ended, action.id, action.host);
@@ -522,8 +522,8 @@
       spdlog::debug("moved off host {}", found->second.host);
       const Ticket ticket = found->second.ticket;
       ledger_.answered(action.id);
-      found->second.over = true;
-      ended(ticket, {Reach::up, Cause::cancelled});
+      found->second.client_done = true;
+      on_attempt_ended(ticket, {Reach::up, Cause::cancelled});
       return relay_.move(ticket);
     }
     case ActionKind::probe: return probes_.probe(action.host, address(action.host));
@@ -546,7 +546,7 @@
   const auto expiry = static_cast<Tenths>(extreme(settings_, "traffic.", ".expiry", 1, kLongestWait));
   ends_by_ = stopped_at_ + std::min(expiry, kLongestWait) + kBeforeKill;
   tell(EventKind::stopping).expiry = ends_by_ - kLookEvery;
-  relay_.hurry(ends_by_ - kLookEvery);
+  relay_.shorten_attempts(ends_by_ - kLookEvery);
   ledger_.expire_by(ends_by_);
   loop_.at(close_up_, ends_by_ - kLookEvery / 2, [this] { close_up(); });
   spdlog::info("stopping, connections open {}", relay_.open());
@@ -586,13 +586,13 @@
   if (loop_.now() >= ends_by_) return true;
   if (loop_.now() - stopped_at_ < kStillComing || !held_.empty() || relay_.busy() > 0) return false;
   // Danger: what the kernel has accepted is taken, whether or not this process has seen it.
-  return !relay_.accepts_more();
+  return !relay_.accept_pending();
 }
 
 void Node::close_up() {
   std::vector<std::string> left;
   for (const auto& [id, one] : held_)
-    if (!one.over) left.push_back(id);
+    if (!one.client_done) left.push_back(id);
   for (const std::string& id : left) {
     const bool up = held_.at(id).up || held_.at(id).handed_over;
     spdlog::warn("{} at the node's end", up ? "a connection is moved" : "an attachment is scrapped");
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -58,30 +58,30 @@
   const Shadow* shadow() const { return shadow_.get(); }  // null while the watching mode is off
 
  private:
-  struct Held {
+  struct HeldRequest {
     Ticket ticket;
     std::string request;  // the client's own id, for the log
     std::string host;
     int tries = 0;
     Tenths sent = 0;
-    bool out = false, up = false, over = false;  // over: answered, moved or left
-    bool handed_over = false;                    // it stood at its host before this node started
-    bool between_attempts = false;               // of one handed over: the next attempt is yet to begin
-    std::optional<Reattach> reattach;            // of one handed over
+    bool out = false, up = false, client_done = false;  // client_done: answered, moved or left
+    bool handed_over = false;                           // it stood at its host before this node started
+    bool between_attempts = false;     // of one handed over: the next attempt is yet to begin
+    std::optional<Reattach> reattach;  // of one handed over
   };
-  void came(Ticket ticket, const Opening& opening);
-  void left(Ticket ticket);
-  void up(Ticket ticket);
-  void ended(Ticket ticket, TryEnd end);
-  void listed(const List& list, EventKind kind);
-  void look();
+  void on_request(Ticket ticket, const Opening& opening);
+  void on_client_left(Ticket ticket);
+  void on_established(Ticket ticket);
+  void on_attempt_ended(Ticket ticket, TryEnd end);
+  void on_list(const List& list, EventKind kind);
+  void sample_delays();
   void exchange();  // what the nodes hold, among them
   void act(const Action& action);
   void answer(const std::string& id, FinalAnswer kind, const std::string& line);
-  Refusal begin_attempt(Held& held, const std::string& id, Tenths time_out, Tenths connect_time);
+  Refusal start_attempt(HeldRequest& held, const std::string& id, Tenths time_out, Tenths connect_time);
   void reattach(Ticket ticket);
-  bool reattach_later(Ticket ticket, Held& held, TryEnd end);  // false: no further attempt may follow
-  bool allowed_by_list(const Held& held) const;  // nothing new goes to a host announced as leaving
+  bool reattach_later(Ticket ticket, HeldRequest& held, TryEnd end);  // false: no further attempt may follow
+  bool allowed_by_list(const HeldRequest& held) const;  // nothing new goes to a host announced as leaving
   HostPlace place_of(const std::string& host) const;
   RepeatRule repeat_rule_of(const std::string& traffic_type) const;
   void release(const std::string& id);  // it is no longer held
@@ -92,7 +92,7 @@
   void close_up();                                     // nothing that is held outlives the process unanswered
   std::string address(const std::string& host) const;  // as discovery last told it; empty where it did not
   Event& tell(EventKind kind, const std::string& id = "", const std::string& host = "");
-  Held* held(Ticket ticket);
+  HeldRequest* held(Ticket ticket);
 
   Loop& loop_;
   Counters counters_;
@@ -112,7 +112,7 @@
   Chance chance_;
   std::map<std::string, double> elsewhere_;  // as last told to the module
   std::vector<Event> events_;
-  std::unordered_map<std::string, Held> held_;
+  std::unordered_map<std::string, HeldRequest> held_;
   RequestLedger ledger_;
   std::map<std::string, HostPlace> places_;  // of the hosts that a list has named
   std::map<std::string, std::string> addresses_;
--- a/src/node/relay.cpp
+++ b/src/node/relay.cpp
@@ -33,12 +33,13 @@
 
 }  // namespace
 
-Relay::Relay(Loop& loop, Counters& counters, const Limits& limits, const Grammar& grammar, Heard heard)
+Relay::Relay(Loop& loop, Counters& counters, const Limits& limits, const Grammar& grammar,
+             Callbacks callbacks)
     : loop_(loop),
       counters_(counters),
       limits_(limits),
       grammar_(grammar),
-      heard_(std::move(heard)),
+      callbacks_(std::move(callbacks)),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
 
 std::optional<std::string> Relay::listen(const sockaddr_in& at) {
@@ -155,7 +156,7 @@
     spdlog::error("connection dropped: {}", error.what());
     Link* link = links_.find(ticket);
     if (!link) return;
-    if (link->phase == Phase::waiting) heard_.client_left(ticket);  // nobody is left to be answered
+    if (link->phase == Phase::waiting) callbacks_.client_left(ticket);  // nobody is left to be answered
     finished(ticket, *link);
   }
 }
@@ -199,7 +200,7 @@
     if (link->phase == Phase::greeting) return greet(ticket, *link);
     if (link->early.empty()) return;
     // Danger: commands poured in behind the first one would reach the host of that one. A client waits.
-    heard_.client_left(ticket);
+    callbacks_.client_left(ticket);
     end_try(ticket, *link, Cause::client);
     return refuse(ticket, *link, "more before its answer");
   }
@@ -209,7 +210,7 @@
   }
   // The client has gone, or ends its sending: it gets an answer in case it still listens.
   ++counters_.left;
-  heard_.client_left(ticket);
+  callbacks_.client_left(ticket);
   end_try(ticket, *link, Cause::client);
   if (got) close_after(ticket, *link, "ERR\r\n");
   else drop(ticket);
@@ -260,12 +261,12 @@
     link.phase = Phase::waiting;
     loop_.cancel(link.deadline);
     ++counters_.taken;
-    return heard_.came(ticket, link.opening);
+    return callbacks_.request_opened(ticket, link.opening);
   }
 }
 
-void Relay::try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
-                   Tenths connect_time) {
+void Relay::begin_attempt(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
+                          Tenths connect_time) {
   Link* link = links_.find(ticket);
   if (!link || link->phase != Phase::waiting || link->try_out) return;
   ++counters_.tries;
@@ -275,7 +276,7 @@
   link->try_until = loop_.now() + time_out;
   // Danger: behind a long turn, or chosen in the very turn of its client's end, a try is a host's work for
   // nobody.
-  link = with_client(ticket);
+  link = attempt_with_client(ticket);
   if (!link) return;
   if (!address) return end_try(ticket, *link, Cause::broken);
   const Tenths connect_until =
@@ -297,7 +298,7 @@
       if (loop_.now() + kDialPause >= connect_until) return end_try(ticket, *link, Cause::local_failure);
       return loop_.at(link->deadline, loop_.now() + kDialPause, [this, ticket, address, connect_until] {
         const Link* waiting = links_.find(ticket);
-        if (waiting && waiting->try_out && last_look(ticket)) dial_host(ticket, address, connect_until);
+        if (waiting && waiting->try_out && may_still_send(ticket)) dial_host(ticket, address, connect_until);
       });
     case Dial::begun: break;
   }
@@ -313,7 +314,7 @@
 }
 
 // Reads what the client has sent by now, or its end; null when that ended the try.
-Relay::Link* Relay::with_client(Ticket ticket) {
+Relay::Link* Relay::attempt_with_client(Ticket ticket) {
   if (links_.find(ticket)->client.socket.has_news()) client_ready(ticket);
   Link* link = links_.find(ticket);
   return link && link->try_out ? link : nullptr;
@@ -322,18 +323,18 @@
 // Danger: a connection comes up long after its host was chosen. Meanwhile the client may have left, the host
 // may have been announced as leaving, or the time may be over, also in this very turn or during a pause of
 // the process; whatever is found here is known not to have run. What has begun is never withdrawn.
-bool Relay::last_look(Ticket ticket) {
-  Link* link = with_client(ticket);
+bool Relay::may_still_send(Ticket ticket) {
+  Link* link = attempt_with_client(ticket);
   if (!link) return false;
   if (loop_.now() >= link->try_until) return end_try(ticket, *link, Cause::time_out), false;
-  if (!heard_.wanted(ticket)) return end_try(ticket, *link, Cause::withdrawn), false;
+  if (!callbacks_.may_send(ticket)) return end_try(ticket, *link, Cause::withdrawn), false;
   return true;
 }
 
 bool Relay::deliver(Ticket ticket, Link& link) {
   if (link.reach == Reach::not_connected) {
     if (!link.host.socket.connected()) return end_try(ticket, link, Cause::broken), false;
-    if (!last_look(ticket)) return false;
+    if (!may_still_send(ticket)) return false;
     link.reach = Reach::partly_written;
     link.host.out = with_wait(link.opening, link.try_until - loop_.now());
     times_out(ticket, link, link.try_until);
@@ -399,7 +400,7 @@
   link.opening.line = {};  // no further try
   link.host.in_ended = ended;
   if (ended) set_linger(ticket);
-  heard_.up(ticket);
+  callbacks_.established(ticket);
   if (!links_.find(ticket) || link.phase != Phase::relaying) return;
   from_host(ticket, link, end + 1);
   if (link.phase == Phase::relaying) settle(ticket, link);
@@ -415,7 +416,7 @@
   link.try_out = false;
   loop_.cancel(link.deadline);
   drop_host(link);
-  heard_.over(ticket, {link.reach, cause});
+  callbacks_.attempt_ended(ticket, {link.reach, cause});
 }
 
 void Relay::cancel(Ticket ticket) {
@@ -446,9 +447,9 @@
 
 void Relay::host_line(Ticket ticket, Link& link) {
   link.last = word_of(link.head);
-  if (link.last == Word::load) return heard_.load_told(ticket, load_of(link.head));
+  if (link.last == Word::load) return callbacks_.load_reported(ticket, load_of(link.head));
   if (link.last == Word::bye || link.last == Word::move || link.asked_at == 0) return;
-  heard_.line_back(ticket, loop_.now() - std::exchange(link.asked_at, 0));
+  callbacks_.line_answered(ticket, loop_.now() - std::exchange(link.asked_at, 0));
 }
 
 // A client is sent whole lines, so that MOVE can always stand between two, but for lines longer than the
@@ -546,13 +547,13 @@
   return count;
 }
 
-bool Relay::accepts_more() {
+bool Relay::accept_pending() {
   const auto before = counters_.accepted;
   accept_all();
   return counters_.accepted != before || accept_failing_since_ != 0;
 }
 
-void Relay::hurry(Tenths until) {
+void Relay::shorten_attempts(Tenths until) {
   links_.each([&](Ticket ticket, Link& link) {
     if (!link.try_out || link.phase != Phase::waiting || link.try_until <= until) return;
     link.try_until = until;
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -36,28 +36,28 @@
 
 class Relay {
  public:
-  struct Heard {
-    std::function<void(Ticket, const Opening&)> came;
+  struct Callbacks {
+    std::function<void(Ticket, const Opening&)> request_opened;
     std::function<void(Ticket)> client_left;  // before it had its answer
-    std::function<void(Ticket)> up;
-    std::function<void(Ticket, TryEnd)> over;  // once for each try
-    std::function<bool(Ticket)> wanted;        // whether what allowed its try still holds
-    std::function<void(Ticket, Tenths)> line_back;
-    std::function<void(Ticket, double)> load_told;
+    std::function<void(Ticket)> established;
+    std::function<void(Ticket, TryEnd)> attempt_ended;  // once for each try
+    std::function<bool(Ticket)> may_send;               // whether what allowed its try still holds
+    std::function<void(Ticket, Tenths)> line_answered;
+    std::function<void(Ticket, double)> load_reported;
   };
-  Relay(Loop& loop, Counters& counters, const Limits& limits, const Grammar& grammar, Heard heard);
+  Relay(Loop& loop, Counters& counters, const Limits& limits, const Grammar& grammar, Callbacks callbacks);
 
   std::optional<std::string> listen(const sockaddr_in& at);
-  void try_at(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
-              Tenths connect_time = 0);
+  void begin_attempt(Ticket ticket, const std::optional<sockaddr_in>& address, Tenths time_out,
+                     Tenths connect_time = 0);
   void cancel(Ticket ticket);
   void answer(Ticket ticket, const std::string& line);  // the final one; nothing follows it
   void move(Ticket ticket);
   std::size_t open() const { return links_.size(); }
   std::size_t busy();  // those of clients that have said what they want, or begun to
   // Takes in who waits at the door; whether there was anybody, or may be: accept failed.
-  bool accepts_more();
-  void hurry(Tenths until);  // tries that are out last no longer
+  bool accept_pending();
+  void shorten_attempts(Tenths until);  // tries that are out last no longer
   // How long each standing connection's client has waited for a line; 0: it does not.
   template <class Visit>
   void each_standing(Visit visit) {
@@ -110,9 +110,9 @@
   static std::optional<std::size_t> take(const Side& from, std::string& to, bool& ended);
   void greet(Ticket ticket, Link& link);
   void greeting_ends(Ticket ticket, Link& link, Tenths after);
-  Link* with_client(Ticket ticket);  // the link of a try that is out; null when its client has gone
+  Link* attempt_with_client(Ticket ticket);  // the link of a try that is out; null when its client has gone
   void dial_host(Ticket ticket, const sockaddr_in& address, Tenths connect_until);
-  bool last_look(Ticket ticket);            // false when the try is over
+  bool may_still_send(Ticket ticket);       // false when the try is over
   bool deliver(Ticket ticket, Link& link);  // the try's line; false when the try is over
   void await_up(Ticket ticket, Link& link);
   void times_out(Ticket ticket, Link& link, Tenths when);
@@ -137,7 +137,7 @@
   Counters& counters_;
   const Limits& limits_;
   const Grammar& grammar_;
-  Heard heard_;
+  Callbacks callbacks_;
   Socket listener_, spare_;
   Ticket listening_;
   Loop::Deadline accept_again_;
--- a/tests/fleet/scenario.cpp
+++ b/tests/fleet/scenario.cpp
@@ -93,6 +93,20 @@
   EXPECT_GE(count, 12);
 }
 
+TEST(Scenario, EachTroubleIsReadAsTheKindItNames) {
+  const std::string head = "name = \"n\"\n[[traffic]]\nname = \"t\"\n[[trouble]]\nat_s = 1\nfor_s = 2\n";
+  const std::pair<const char*, Ill> kinds[] = {{"neighbour\"\nhosts = [0]", Ill::neighbour},
+                                               {"reset\"\nhosts = [0]", Ill::reset},
+                                               {"drop\"", Ill::drop},
+                                               {"list_down\"", Ill::list_down},
+                                               {"node_killed\"\nnodes = [0]", Ill::node_killed},
+                                               {"node_reload\"\nnodes = [0]", Ill::node_reload},
+                                               {"hush\"", Ill::hush},
+                                               {"crowd\"", Ill::crowd}};
+  for (const auto& [named, kind] : kinds)
+    EXPECT_EQ(scenario_of(head + "kind = \"" + named + "\n", "n").troubles.front().kind, kind) << named;
+}
+
 TEST(Scenario, VaryTakesWhatTheTableKnowsAndNothingElse) {
   Scenario scenario = scenario_of(kGood, "f.toml");
   vary(scenario, "clients.standing", "77");
