--- a/src/fleet/audit/audit.cpp
+++ b/src/fleet/audit/audit.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t kFirst = 5;                // cases kept of each rule
+constexpr Tenths kDies = 200 * kMs;              // a killed process, until its connections are reset
 constexpr Tenths kResumedWithin = 40 * kSecond;  // protocol page: a connection from before the run
 constexpr Tenths kRepeatMargin = 300 * kMs;      // a node may stop repeating so long before the window ends
 constexpr Tenths kFallenAgain = 2 * kSecond;     // one push is one breach
@@ -35,7 +36,8 @@
   Attachment& held = held_[id];
   held.node = node, held.traffic = traffic, held.asked = when, held.resumed = resumed;
   // What is written as its process dies is read by nobody.
-  held.owed = killed_.count(node) == 0;
+  const auto killed = killed_.find(node);
+  held.owed = killed == killed_.end() || when < killed->second || when > killed->second + kDies;
 }
 
 Tenths Audit::expiry(const Attachment& held) const {
@@ -151,7 +153,7 @@
 }
 
 void Audit::node_lost(int node, Tenths when) {
-  killed_.insert(node);
+  killed_[node] = when;
   for (auto& [id, held] : held_) {
     if (held.node != node || !held.owed) continue;
     held.owed = false;
--- a/src/fleet/audit/audit.h
+++ b/src/fleet/audit/audit.h
@@ -3,7 +3,6 @@
 // in the order of their times; times are tenths of a run's own clock.
 #pragma once
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -85,7 +84,7 @@
   Tenths slack_;
   std::unordered_map<std::string, Attachment> held_;
   std::map<std::pair<int, int>, Tenths> leaving_;  // node and host: since when the node knows
-  std::set<int> killed_;                           // nodes of which no new process has begun
+  std::map<int, Tenths> killed_;                   // nodes, and when; until a new process begins
   std::map<int, bool> stopping_;                   // nodes
   std::vector<Tenths> fallen_;                     // by host: a breach is counted once for each cold start
   Found found_[kRules];
--- a/tests/fleet/model.cpp
+++ b/tests/fleet/model.cpp
@@ -181,6 +181,11 @@
   judge.audit.asked("z", 1, 0, 0);
   judge.audit.node_lost(1, 5 * kSecond);
   EXPECT_EQ(judge.count(Rule::final_answer), 1) << "it was overdue before its node was killed";
+  judge.audit.asked("as it dies", 1, 0, 5 * kSecond + 10);
+  judge.audit.asked("later", 1, 0, 6 * kSecond);
+  judge.audit.finish(200 * kSecond);
+  EXPECT_EQ(judge.count(Rule::final_answer), 2)
+      << "only the one that was written as its process died is excused";
 }
 
 TEST(Audit, FindsEffectsThatMayHaveHappenedTwice) {
