--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,67 +1,95 @@
-// Case 2: connections whose host brings nothing back have to be ended or moved within 7 s. Here a quarter of
-// the open connections fall silent, while the node is held up for 0.13 s once a second.
+// Case 2: a cold host is not pushed over, where lists are pushed. A host restarts and is cold; then one of three
+// nodes is killed and starts again with its list of before, while discovery is crowded and answers its calls
+// a second late.
+#include <deque>
+#include <random>
+
 #include "rig.h"
 
 namespace {
 
 using namespace rig;
 
-constexpr int kClients = 200;
-constexpr int kHosts = 8;
-constexpr double kLineEveryMs = 2000;   // clients send a line every 2 s
-constexpr double kHoldMs = 130;         // the page: up to 150
-constexpr double kMaxHoldMs = 150;
-constexpr double kHoldEveryMs = 1000;
-// The page's 7 s, the 50 ms by which each limit is longer on sockets, one hold-up, and 300 ms for this machine.
-constexpr double kLimitMs = 7000 + 50 + 150 + 300;
-constexpr double kWatchedMs = 12500;    // how long the silence is watched
+// The figures of a small deployment (colombo-shared): 3 nodes, 10 hosts of two cores.
+constexpr int kNodes = 3, kHosts = 10;
+constexpr int kClients = 420;              // under half of what the hosts hold
+constexpr double kQueueMs = 1000;          // a call's wait at discovery; under the bench's time-out of 2 s
+// A host of the fastest kind holds 92 connections. They live 38 to 76 s, so it can take 92 / 38 s = 2.4 new ones a
+// second; "a cold server can take new connections no faster than fills it over its warm-up" allows 92 / 24 s = 3.8.
+// The larger figure is taken.
+constexpr double kConnectionsPerCore = 20, kCores = 2, kSpeed = 2.3, kWarmUpS = 24;
+constexpr double kCapacityPerS = kConnectionsPerCore * kCores * kSpeed / kWarmUpS;
+constexpr double kColdFrom = 0.15, kColdMs = 24000, kFallMultiple = 2.5, kFallMs = 1000;  // as the settings tell
+constexpr double kRejoinFromMs = 150, kRejoinToMs = 1200;
 
-struct Client {
-  std::string id, host_end;
-  bool is_up = false, fell_silent = false;
-  double unanswered_since = 0;  // when the first line was sent that nothing came back for; 0: none
-  double ended_at = 0;          // MOVE, or the node's end
+// The host's own account of what it is sent while it is cold.
+class ColdAccount {
+ public:
+  void start() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    started_at_ = now_ms();
+    sent_.clear();
+  }
+  // Counts one new connection. Returns whether the host falls over.
+  bool count() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const double now = now_ms();
+    if (started_at_ < 0 || now - started_at_ > kColdMs) return false;
+    sent_.push_back(now);
+    while (sent_.front() < now - kFallMs) sent_.pop_front();
+    const double share = kColdFrom + (1 - kColdFrom) * (now - started_at_) / kColdMs;  // at its highest in the span
+    const double n = kFallMultiple * kCapacityPerS * share * kFallMs / 1000;
+    const double limit = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+    const double ratio = static_cast<double>(sent_.size()) / limit;
+    if (ratio > peak_) {
+      peak_ = ratio;
+      record("cold host: %zu new connections within %.0f ms, it bears %.1f at an age of %.1f s", sent_.size(), kFallMs,
+             limit, (now - started_at_) / 1000);
+    }
+    return ratio > 1;
+  }
+  double peak() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return peak_;
+  }
+
+ private:
+  std::mutex mutex_;
+  double started_at_ = -1, peak_ = 0;
+  std::deque<double> sent_;
 };
 
-std::mutex clients_mutex;
-std::vector<Client> clients(kClients);
 std::atomic<bool> stop{false};
+std::atomic<int> cut_off{0};
 
+// A client that comes again after each end.
 void run_client(int index, int port) {
-  sleep_ms(index * 10.0);  // the clients' lines are spread over their 2 s
-  const int descriptor = connect_to(port);
-  const std::string id = new_id();
-  LineReader reader(descriptor);
+  std::mt19937 random(static_cast<unsigned>(index));
+  std::uniform_real_distribution<double> rejoin(kRejoinFromMs, kRejoinToMs);
+  sleep_ms(index * 11.0);
   std::string line;
-  send_all(descriptor, "OPEN " + id + " " + hex16(mixed(index)) + " c=host-floor,d=3200,g=" +
-                           hex16(mixed(1000 + index)) + "\r\n");
-  const bool is_up = reader.next(line, now_ms() + 4000) == Read::line && line == "UP " + id;
-  {
-    std::lock_guard<std::mutex> lock(clients_mutex);
-    clients[index].id = id;
-    clients[index].is_up = is_up;
-  }
-  record("client %d %s: %s", index, id.c_str(), line.c_str());
-  double next_line = now_ms() + kLineEveryMs;
-  for (int number = 0; is_up && !stop;) {
-    if (now_ms() >= next_line) {
-      send_all(descriptor, "line " + std::to_string(number++) + "\r\n");
-      next_line += kLineEveryMs;
-      std::lock_guard<std::mutex> lock(clients_mutex);
-      if (clients[index].unanswered_since == 0) clients[index].unanswered_since = now_ms();
-    }
-    const Read read = reader.next(line, std::min(next_line, now_ms() + 100));
-    std::lock_guard<std::mutex> lock(clients_mutex);
-    if (read == Read::line && line != "MOVE") {
-      clients[index].unanswered_since = 0;
-    } else if (read != Read::timeout) {
-      clients[index].ended_at = now_ms();
-      clients[index].host_end = read == Read::line ? "MOVE" : "an end without MOVE";
-      record("client %d %s: %s", index, id.c_str(), clients[index].host_end.c_str());
-      break;
+  for (bool again = false; !stop; again = true) {
+    const int descriptor = connect_to(port);
+    if (descriptor >= 0) {
+      LineReader reader(descriptor);
+      const std::string id = new_id();
+      send_all(descriptor, "OPEN " + id + " " + hex16(mixed(index)) + " c=host-floor,d=3200,g=" +
+                               hex16(mixed(1000 + index)) + (again ? ",again=1" : "") + "\r\n");
+      if (reader.next(line, now_ms() + 3300) == Read::line && line == "UP " + id) {
+        double next_line = now_ms() + 2000;
+        Read read = Read::timeout;
+        while (!stop && (read == Read::timeout || (read == Read::line && line != "MOVE"))) {
+          if (now_ms() >= next_line) {
+            send_all(descriptor, "line\r\n");
+            next_line += 2000;
+          }
+          read = reader.next(line, std::min(next_line, now_ms() + 50));
+        }
+      }
+      close(descriptor);
     }
+    sleep_ms(rejoin(random));
   }
-  close(descriptor);
 }
 
 }  // namespace
@@ -69,71 +97,80 @@
 int main(int count, char** values) {
   const Arguments arguments = begin(count, values);
   const std::string trouble = std::getenv("TROUBLE") ? std::getenv("TROUBLE") : "1";
-  const bool silences = trouble == "1" || trouble == "silence";
-  const bool holds_up = trouble == "1" || trouble == "holdups";
-  Discovery discovery(10);
+  const bool kills = trouble == "1" || trouble == "restart";
+  const bool crowds = trouble == "1" || trouble == "crowd";
+  SettingsChoice choice;
+  choice.discovery = "pushed";
+  choice.nodes = kNodes;
+  choice.max_attempts = 5;
+  choice.drain_grace_ms = 1000;
+  choice.cold_from = kColdFrom;
+  choice.cold_ms = kColdMs;
+  choice.fall_ms = kFallMs;
+  choice.fall_multiple = kFallMultiple;
+  Discovery discovery(40);
   std::vector<std::unique_ptr<Host>> hosts;
   for (int i = 0; i < kHosts; ++i) {
     hosts.push_back(std::make_unique<Host>("s-" + std::to_string(i), i % 2 ? "south" : "north"));
     discovery.set(*hosts.back(), "up");
   }
-  Node node(arguments.root, arguments.run, arguments.folder, "n0");
-  node.write_config(discovery.address(), discovery.whole_list(), settings({}));
-  node.start();
-  node.wait_ready();
+  Host& cold = *hosts[0];
+  ColdAccount account;
+  std::atomic<double> fell_at{-1};
+  cold.on_open = [&] {
+    if (!account.count() || fell_at >= 0) return;
+    fell_at = now_ms();
+    record("the cold host has more than it bears: it falls over");
+    std::thread([&] {  // a second later, so that the record shows what else it is sent within the span
+      sleep_ms(kFallMs);
+      int open = 0;
+      cold.for_each([&](HostConnection&) { ++open; });
+      cut_off = open;
+      record("the cold host is down and stays down; %d open connections are cut off", open);
+      cold.set(Host::Mode::down);
+      cold.reset_connections();
+    }).detach();
+  };
+  const std::string known = discovery.whole_list();  // as the nodes had it before the host restarted
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int i = 0; i < kNodes; ++i) {
+    nodes.push_back(std::make_unique<Node>(arguments.root, arguments.run, arguments.folder, "n" + std::to_string(i)));
+    choice.me = i;
+    nodes[i]->write_config(discovery.address(), known, settings(choice));
+    nodes[i]->start();
+    nodes[i]->wait_ready();
+  }
   std::vector<std::thread> threads;
-  for (int i = 0; i < kClients; ++i) threads.emplace_back(run_client, i, node.port());
-  sleep_ms(6500);
+  for (int i = 0; i < kClients; ++i) threads.emplace_back(run_client, i, nodes[i % kNodes]->port());
+  sleep_ms(6000);
 
-  int open = 0;
-  for (auto& host : hosts) host->for_each([&](HostConnection&) { ++open; });
-  if (open < kClients * 9 / 10) cannot_run("only " + std::to_string(open) + " connections are up");
-  int silent = 0, seen = 0;
-  for (auto& host : hosts) {
-    host->for_each([&](HostConnection& connection) {
-      if (!silences || seen++ % 4 != 0) return;
-      connection.silent = true;
-      ++silent;
-      record("host %s: connection %s falls silent", host->id().c_str(), connection.id.c_str());
-      std::lock_guard<std::mutex> lock(clients_mutex);
-      for (Client& client : clients) client.fell_silent |= client.id == connection.id;
-    });
-  }
-  double longest_hold = 0;
-  const double began = now_ms();
-  for (double cycle = began; cycle < began + kWatchedMs; cycle += kHoldEveryMs) {
-    sleep_until(cycle);
-    if (!holds_up) continue;
-    const double held_at = now_ms();
-    node.signal(SIGSTOP);
-    sleep_until(held_at + kHoldMs);
-    node.signal(SIGCONT);
-    longest_hold = std::max(longest_hold, now_ms() - held_at);
+  // The host restarts: within a second it is back, cold, and the agent has it.
+  cold.set(Host::Mode::down);
+  cold.reset_connections();
+  sleep_ms(500);
+  account.start();
+  cold.set(Host::Mode::serve);
+  const double started_unix_ms =
+      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  discovery.set(cold, "up", started_unix_ms);
+  record("host %s has restarted and is cold", cold.id().c_str());
+  sleep_ms(1500);
+
+  if (crowds) discovery.set_queue_ms(kQueueMs);
+  if (kills) {
+    nodes[0]->kill_now();
+    sleep_ms(500);
+    nodes[0]->start();
+    nodes[0]->wait_ready();
   }
-  sleep_until(began + kWatchedMs);
-  const double end = now_ms();
-  if (node.has_ended()) {
-    record("the node ended by itself");
-    finish(true);
+  sleep_ms(4000);
+  for (auto& node : nodes) {
+    if (node->has_ended()) cannot_run("a node ended by itself");
   }
   stop = true;
   for (std::thread& thread : threads) thread.join();
-  record("longest hold-up %.1f ms", longest_hold);
-  if (longest_hold > kMaxHoldMs) cannot_run("a hold-up took longer than 150 ms: the machine is too busy");
-
-  int broken = 0, moved = 0;
-  for (const Client& client : clients) {
-    if (!client.is_up || client.unanswered_since == 0) continue;
-    const double waited = (client.ended_at > 0 ? client.ended_at : end) - client.unanswered_since;
-    if (client.fell_silent) {
-      record("silent connection %s: %s after %.0f ms", client.id.c_str(),
-             client.ended_at > 0 ? client.host_end.c_str() : "neither ended nor moved", waited);
-    }
-    moved += client.ended_at > 0 ? 1 : 0;
-    broken += waited > kLimitMs ? 1 : 0;
-  }
-  record("%d connections up, %d fell silent, %d of them ended or moved, %d neither within %.0f ms", open, silent,
-         moved, broken, kLimitMs);
-  std::printf("%d fell silent, %d neither ended nor moved within %.0f ms\n", silent, broken, kLimitMs);
-  finish(broken > 0);
+  std::printf("the cold host was sent at most %.2f of what it bears; %s\n", account.peak(),
+              fell_at >= 0 ? "it fell over" : "it stands");
+  record("at most %.2f of what the cold host bears; %d open connections were cut off", account.peak(), cut_off.load());
+  finish(fell_at >= 0);
 }
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -448,12 +448,17 @@
   }
   std::string address() const { return address_text(port_); }
   int port() const { return port_; }
-  void write_config(const std::string& discovery, const std::string& known, const std::string& settings) {
+  // Replaces the file as a whole.
+  void write_config(const std::string& discovery, const std::string& known, const std::string& settings,
+                    int sockets = 1024) {
     discovery_ = discovery;
-    std::ofstream file(config_path());
+    const std::string written = config_path() + ".new";
+    std::ofstream file(written);
     file << "{\"name\":\"" << name_ << "\",\"listen\":\"" << address() << "\",\"discovery\":\"" << discovery
-         << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+         << "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" << sockets << "},"
          << "\"known\":" << known << ",\"settings\":" << settings << "}\n";
+    file.close();
+    if (std::rename(written.c_str(), config_path().c_str()) != 0) cannot_run("the configuration cannot be replaced");
   }
   void start() {
     const std::string log = folder_ + "/" + name_ + ".log";
