New work of a restarted node waits for its first endpoint list

Where discovery pushes its list, a node counts as notified of all that discovery has from its first moment. A node that started again while discovery answered late served by its cached list: a cold endpoint got 31 new connections within 1 s and bears 10; its clients were cut off. Draining endpoints got new connections on the same path.

Change: EndpointListFreshness (policy) says whether the list may lack changes of which the node counts as notified: after the start and a lost watch where lists are pushed, 6 s after a watch fell silent, 4 s after a reload has named another discovery, 6 s after an overloaded discovery has turned calls away. New attempts, retries and health checks then wait for the list, PING is answered once it has come, and a request is rejected in time for its client. They wait 3 s at the start, 2 s later, and not at all while discovery refuses connections; then the old list goes on, and a process that has had no list gives each endpoint what one in slow start bears. A call whose answer is due at once (wait_ms=0) confirms the list. An adopted connection is not given up for want of its endpoint in a cached list. Of two lists that arrive together the older one can no longer be applied last.

Three older tests ran a node whose discovery never answers; it now answers that nothing has changed, and their checks and limits are as before.

--- a/src/emulator/sim/baseline_policy.h
+++ b/src/emulator/sim/baseline_policy.h
@@ -50,6 +50,7 @@
   void handle(const ClientDisconnected& event);
   void handle(const TimerFired& event);
   // Events that a baseline ignores.
+  void handle(const EndpointListFreshnessChanged&) {}
   void handle(const ConnectionAdopted&) {}
   void handle(const LoadReported&) {}
   void handle(const LatencyReported&) {}
--- a/src/node/connection_table.cpp
+++ b/src/node/connection_table.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <variant>
 
 #include "base/overloaded.h"
@@ -14,6 +15,7 @@
 constexpr Duration kRequestLineTimeout = 2 * kSecond;  // to receive the request line; the protocol allows 3 s
 // How long a client that has sent PING may take until it sends its next line.
 constexpr Duration kNextLineAfterPingTimeout = 60 * kSecond;
+constexpr int kMaxUnansweredPings = 4;         // of one client; more are not counted
 constexpr Duration kClosingTimeout = kSecond;  // for the client to receive the last bytes
 // The bytes that are read and discarded while a connection closes, so that the client receives the answer.
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
@@ -154,7 +156,7 @@
   for (int pings = 0;; ++pings) {
     ClientMessage message = admission_.next_message(connection.client_prefix, pings);
     if (std::holds_alternative<Ping>(message)) {
-      answer_ping(handle, connection);
+      on_ping(handle, connection);
       continue;
     }
     return std::visit(
@@ -175,15 +177,32 @@
   }
 }
 
-void ConnectionTable::answer_ping(Handle handle, ProxiedConnection& connection) {
-  ++counters_.pings_answered;
-  connection.client.socket.send_without_waiting("PONG\r\n");
+void ConnectionTable::set_answers_pings(bool answers_pings) {
+  answers_pings_ = answers_pings;
+  if (answers_pings) {
+    connections_.for_each([this](Handle, ProxiedConnection& connection) { answer_pings(connection); });
+  }
+}
+
+void ConnectionTable::answer_pings(ProxiedConnection& connection) {
+  for (; connection.unanswered_pings > 0; --connection.unanswered_pings) {
+    ++counters_.pings_answered;
+    connection.client.socket.send_without_waiting("PONG\r\n");
+  }
+}
+
+void ConnectionTable::on_ping(Handle handle, ProxiedConnection& connection) {
+  connection.unanswered_pings = std::min(connection.unanswered_pings + 1, kMaxUnansweredPings);
+  if (answers_pings_) {
+    answer_pings(connection);
+  }
   start_request_line_deadline(handle, connection, kNextLineAfterPingTimeout);
   admission_.remove_silent(handle);
   admission_.add_silent(handle, loop_.now());
 }
 
 void ConnectionTable::open_request(Handle handle, ProxiedConnection& connection, RequestLine request) {
+  answer_pings(connection);  // in the order in which the client expects the answers
   connection.client_prefix = {};
   connection.request = std::move(request);
   admission_.remove_silent(handle);
--- a/src/node/connection_table.h
+++ b/src/node/connection_table.h
@@ -47,6 +47,8 @@
 
   /// Starts listening at `address`. Returns an error message on failure, otherwise nothing.
   std::optional<std::string> listen(const sockaddr_in& address) { return listener_.listen(address); }
+  /// Sets whether PING is answered. PINGs that are not are answered as soon as it is set to true.
+  void set_answers_pings(bool answers_pings);
   /// Begins an attempt for a client that awaits its answer and has no attempt in progress.
   void begin_attempt(Handle handle, const AttemptParameters& parameters);
   /// Cancels the attempt of a client that awaits its answer.
@@ -100,7 +102,8 @@
   void evict_longest_silent();
   void read_request(Handle handle, ProxiedConnection& connection);
   void read_client_messages(Handle handle, ProxiedConnection& connection);
-  void answer_ping(Handle handle, ProxiedConnection& connection);
+  void on_ping(Handle handle, ProxiedConnection& connection);
+  void answer_pings(ProxiedConnection& connection);
   void open_request(Handle handle, ProxiedConnection& connection, RequestLine request);
   void on_client_closed_before_request(Handle handle, ProxiedConnection& connection, bool is_broken);
   void on_client_closed_before_answer(Handle handle, ProxiedConnection& connection, bool is_broken);
@@ -123,6 +126,7 @@
   UpstreamAttempts attempts_;
   ByteRelay relay_;
   const Limits& limits_;
+  bool answers_pings_ = true;
 };
 
 }  // namespace dapplewharf
--- a/src/node/endpoint_directory.h
+++ b/src/node/endpoint_directory.h
@@ -39,6 +39,11 @@
   /// Whether the endpoint lists permit `use` of the endpoint. This is the only place that decides what may
   /// still be sent to a draining or removed endpoint.
   [[nodiscard]] bool permits(const std::string& endpoint, EndpointUse use) const;
+  /// Records that a list has been received from discovery. Until then the records are those of a cached list.
+  void set_confirmed() { is_confirmed_ = true; }
+  /// Whether the adopted connections of an endpoint may be given up because no list names it, or because it
+  /// is draining or removed.
+  [[nodiscard]] bool is_confirmed() const { return is_confirmed_; }
   /// @param only_draining_binds the setting `drainBindsAlone`: if true, removed endpoints may still be used.
   void set_only_draining_binds(bool only_draining_binds) { only_draining_binds_ = only_draining_binds; }
 
@@ -77,6 +82,7 @@
 
   std::map<std::string, EndpointRecord> records_;
   bool only_draining_binds_ = false;
+  bool is_confirmed_ = false;
 };
 
 }  // namespace dapplewharf
--- a/src/node/endpoint_discovery.cpp
+++ b/src/node/endpoint_discovery.cpp
@@ -24,8 +24,14 @@
 // the other half is left to repeat a watch that was not answered: the watches of all nodes fail at the same
 // time, and one service answers their calls in turn.
 constexpr Duration kWatchWait = 3 * kSecond;
-constexpr Duration kWatchTimeout = 500 * kMs;               // for the answer, in addition to `kWatchWait`
-constexpr Duration kWatchTimeoutAfterTimeout = 1500 * kMs;  // the same, after a watch that timed out
+constexpr Duration kWatchTimeout = 500 * kMs;  // for the answer, in addition to `kWatchWait`
+// For the answer to an update. Longer than Backoff::kResponseTimeout, after which an overloaded service gives
+// a call up, so that its answer still arrives.
+constexpr Duration kUpdateTimeout = Backoff::kResponseTimeout + 500 * kMs;
+// A call that fails within this time has failed at once.
+constexpr Duration kImmediateFailure = 100 * kMs;
+// A call that has not failed within this time is expected to be answered.
+constexpr Duration kPendingCallDelay = 50 * kMs;
 // Before the next call after an unchanged list; short enough that discovery does not end the watch.
 constexpr Duration kUnchangedListDelay = 100 * kMs;
 constexpr Duration kRetryDelay = 200 * kMs;  // the longest delay between retries before `deemed_notified_at_`
@@ -88,13 +94,42 @@
 }
 
 EndpointDiscovery::EndpointDiscovery(EventLoop& loop, Counters& counters, std::string address,
-                                     const Limits& limits, std::uint64_t seed, Callbacks callbacks)
+                                     const Limits& limits, const Settings& settings, std::uint64_t seed,
+                                     Callbacks callbacks)
     : loop_(loop),
       counters_(counters),
       address_(std::move(address)),
       limits_(limits),
       callbacks_(std::move(callbacks)),
-      random_(seed) {}
+      random_(seed),
+      freshness_(settings) {}
+
+void EndpointDiscovery::start() {
+  freshness_.record_start(loop_.now());
+  update_freshness();
+}
+
+// Reports the freshness if it has changed, and schedules its next change.
+void EndpointDiscovery::update_freshness() {
+  freshness_.advance(loop_.now());
+  loop_.cancel(freshness_deadline_);
+  if (freshness_.next_change_at() < kNever) {
+    loop_.schedule(freshness_deadline_, freshness_.next_change_at(), [this] { update_freshness(); });
+  }
+  const ListFreshness freshness = freshness_.state();
+  if (freshness == reported_freshness_ && freshness_.possible_start_at() == reported_possible_start_at_) {
+    return;
+  }
+  if (reported_freshness_ == ListFreshness::current) {
+    outdated_since_ = loop_.now();
+  }
+  spdlog::info("endpoint_list_freshness_changed from={} to={} version={} outdated_for_ms={}",
+               name_of(reported_freshness_), name_of(freshness), version_,
+               (loop_.now() - outdated_since_) / kMs);
+  reported_freshness_ = freshness;
+  reported_possible_start_at_ = freshness_.possible_start_at();
+  callbacks_.on_freshness_changed(freshness_);
+}
 
 void EndpointDiscovery::set_cached_version(std::int64_t version) {
   version_ = version;
@@ -124,6 +159,8 @@
   is_call_in_progress_ = false;
   needs_complete_list_ = true;
   deemed_notified_at_ = loop_.now() + kDeemedNotifiedAfterAddressChange;
+  freshness_.record_notification(*deemed_notified_at_);
+  update_freshness();
   fetch();
 }
 
@@ -132,34 +169,45 @@
     return;
   }
   if (is_fetching_ || (is_watching_ && needs_complete_list_)) {
-    return call("/api/targets", false);
+    return call("/api/targets", CallKind::fetch);
   }
   if (!is_watching_) {
     return;
   }
-  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(kWatchWait / kMs),
-       true);
+  // A watch is answered only when the list changes, so it would not show that the list is current.
+  const bool is_update = freshness_.state() != ListFreshness::current || last_watch_timed_out_;
+  const Duration wait = is_update ? 0 : kWatchWait;
+  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / kMs),
+       is_update ? CallKind::update : CallKind::watch);
 }
 
-void EndpointDiscovery::call(const std::string& target, bool is_watch) {
-  const Duration watch_timeout =
-      kWatchWait + (last_watch_timed_out_ ? kWatchTimeoutAfterTimeout : kWatchTimeout);
-  const Duration timeout = is_watch ? watch_timeout : Backoff::kResponseTimeout;
+Duration EndpointDiscovery::call_timeout() const {
+  switch (call_kind_) {
+    case CallKind::fetch:
+      return Backoff::kResponseTimeout;
+    case CallKind::update:
+      return kUpdateTimeout;
+    case CallKind::watch:
+      break;
+  }
+  return kWatchWait + kWatchTimeout;
+}
+
+void EndpointDiscovery::call(const std::string& target, CallKind kind) {
+  call_kind_ = kind;
   is_call_in_progress_ = true;
   ++counters_.endpoint_list_calls;
   spdlog::debug("endpoint_list_called target={}", target);
   request_ = format_get_request(address_, target);
   called_at_ = loop_.now();
+  has_failed_locally_ = false;
   is_reused_connection_ = static_cast<bool>(socket_);
   sent_ = 0;
   received_.clear();
-  loop_.schedule(deadline_, loop_.now() + timeout, [this, is_watch] {
-    if (is_watch) {
-      deemed_notified_at_ = called_at_ + kDeemedNotifiedAfterSilence;
-      last_watch_timed_out_ = true;
-      retry_immediately_ = true;
-    }
-    on_broken(false);
+  loop_.schedule(deadline_, loop_.now() + call_timeout(), [this] { on_call_timed_out(); });
+  loop_.schedule(pending_call_deadline_, loop_.now() + kPendingCallDelay, [this] {
+    freshness_.record_call_pending(loop_.now());
+    update_freshness();
   });
   if (!socket_) {
     return connect();
@@ -168,13 +216,27 @@
   on_ready();
 }
 
+void EndpointDiscovery::on_call_timed_out() {
+  if (call_kind_ == CallKind::watch) {
+    deemed_notified_at_ = called_at_ + kDeemedNotifiedAfterSilence;
+    last_watch_timed_out_ = true;
+    retry_immediately_ = true;
+    freshness_.record_notification(*deemed_notified_at_);
+    freshness_.record_watch_lost(loop_.now());
+  }
+  on_broken(false);
+}
+
 void EndpointDiscovery::connect() {
   const auto address = parse_address(address_);
   is_connected_ = false;
   sent_ = 0;
   received_.clear();
-  if (!address || start_connecting(*address, limits_.descriptors, kReservedFromDiscovery, socket_) !=
-                      ConnectStart::in_progress) {
+  const ConnectStart start =
+      address ? start_connecting(*address, limits_.descriptors, kReservedFromDiscovery, socket_)
+              : ConnectStart::refused;
+  if (start != ConnectStart::in_progress) {
+    has_failed_locally_ = start != ConnectStart::refused;
     // Reported asynchronously, so that the caller is not called back while it is still executing.
     return loop_.schedule(deadline_, loop_.now(), [this] { on_broken(false); });
   }
@@ -246,6 +308,7 @@
   }
   is_call_in_progress_ = false;
   loop_.cancel(deadline_);
+  loop_.cancel(pending_call_deadline_);
   if (closes) {
     close();
   }
@@ -268,27 +331,43 @@
   }
   deemed_notified_at_.reset();
   last_watch_timed_out_ = false;
+  if (!needs_complete_list_) {
+    freshness_.record_list();
+  }
   ++counters_.endpoint_lists;
+  // The list is handed on before the next call, which may be answered at once: the older of the two lists
+  // would be applied last.
+  callbacks_.on_list(list);
+  update_freshness();
   // Without the delay a service that answers immediately would be called in an endless loop.
-  if (!has_changes && loop_.now() - called_at_ < kUnchangedListDelay) {
+  const bool is_unexpectedly_early =
+      call_kind_ != CallKind::update && !has_changes && loop_.now() - called_at_ < kUnchangedListDelay;
+  if (is_unexpectedly_early) {
     loop_.schedule(deadline_, loop_.now() + kUnchangedListDelay, [this] { call_next(); });
   } else {
-    call_next();  // before the callback, because discovery ends a watch whose next call is late
+    call_next();
   }
-  callbacks_.on_list(list);
+}
+
+ListCallFailure EndpointDiscovery::call_failure() const {
+  if (has_failed_locally_ || loop_.now() - called_at_ >= kImmediateFailure) {
+    return ListCallFailure::unanswered;
+  }
+  return received_.empty() ? ListCallFailure::unavailable : ListCallFailure::overloaded;
 }
 
 void EndpointDiscovery::on_broken(bool may_be_stale) {
-  if (may_be_stale) {  // discovery may have closed the idle connection: repeat the call on a new one
-    close();
-    is_reused_connection_ = false;
-    return connect();
+  if (may_be_stale) {
+    return repeat_on_new_connection();
   }
   spdlog::warn("endpoint_list_call_lost duration_ms={}", (loop_.now() - called_at_) / kMs);
   close();
   loop_.cancel(deadline_);
+  loop_.cancel(pending_call_deadline_);
   is_call_in_progress_ = false;
   ++counters_.endpoint_list_calls_lost;
+  freshness_.record_call_failure(loop_.now(), call_failure());
+  update_freshness();
   // The call is repeated until this node is deemed notified of the changes that it may have missed, because
   // until then the node may send to a draining endpoint. The first repeat after a watch that timed out is
   // immediate. The delay of other repeats is random because the watches of all nodes fail at the same time.
@@ -300,9 +379,26 @@
   deemed_notified_at_.reset();
   is_watching_ = false;
   is_fetching_ = false;
+  freshness_.record_watch_lost(loop_.now());
+  update_freshness();
   callbacks_.on_watch_lost();
 }
 
+// Discovery may have closed the idle connection before it received the call. If it has held a watch open and
+// then closed it, changes since then would be missed.
+void EndpointDiscovery::repeat_on_new_connection() {
+  close();
+  is_reused_connection_ = false;
+  if (call_kind_ != CallKind::watch || loop_.now() - called_at_ < kImmediateFailure) {
+    return connect();
+  }
+  freshness_.record_watch_lost(loop_.now());
+  update_freshness();
+  loop_.cancel(deadline_);
+  is_call_in_progress_ = false;
+  call_next();
+}
+
 void EndpointDiscovery::close() {
   loop_.unwatch(socket_watch_);
   socket_.close();
--- a/src/node/endpoint_discovery.h
+++ b/src/node/endpoint_discovery.h
@@ -1,6 +1,7 @@
 // The client of the discovery service: fetches the endpoint list and watches its changes by long polling.
 // Owns the connection to discovery, the version of the list and the watch, which continues across a change of
-// discovery's address and across one unanswered call. It retries by itself only after a watch that timed out
+// discovery's address and across one unanswered call, and the freshness of the list
+// (policy/endpoint_list_freshness). It retries by itself only after a watch that timed out
 // or after a change of the address, and only until this node is deemed notified of the changes that it may
 // have missed. Any other failure is reported, and the node decides when to watch again. Design:
 // docs/design.md.
@@ -16,7 +17,9 @@
 #include "base/event_loop.h"
 #include "base/random.h"
 #include "base/socket.h"
+#include "policy/endpoint_list_freshness.h"
 #include "policy/events.h"
+#include "policy/settings.h"
 
 namespace dapplewharf {
 
@@ -55,9 +58,16 @@
   struct Callbacks {
     std::function<void(const EndpointSnapshot&)> on_list;
     std::function<void()> on_watch_lost;  ///< the watch has ended; `watch` starts a new one
+    /// The freshness of the list, or the latest possible start of its endpoints, has changed. If a list has
+    /// caused the change, called after `on_list`.
+    std::function<void(const EndpointListFreshness&)> on_freshness_changed;
   };
+  /// @param settings may change between calls and must outlive this object.
   EndpointDiscovery(EventLoop& loop, Counters& counters, std::string address, const Limits& limits,
-                    std::uint64_t seed, Callbacks callbacks);
+                    const Settings& settings, std::uint64_t seed, Callbacks callbacks);
+
+  /// Starts to track the freshness of the list. To be called once, before the first client is served.
+  void start();
 
   /// Sets the version of a cached list, so that the watch starts with the changes since this version.
   void set_cached_version(std::int64_t version);
@@ -68,11 +78,21 @@
   /// Sets a new address of discovery: abandons the call in progress and requests the complete list from the
   /// new address.
   void change_address(const std::string& address);
+  [[nodiscard]] const EndpointListFreshness& freshness() const { return freshness_; }
   /// The start times of all endpoints seen so far.
   EndpointStartTimes& start_times() { return start_times_; }
 
  private:
-  void call(const std::string& target, bool is_watch);
+  enum class CallKind {
+    fetch,   // the complete list
+    update,  // the changes until now, answered at once
+    watch    // the changes until now or, if there are none, the next ones
+  };
+  void call(const std::string& target, CallKind kind);
+  void on_call_timed_out();
+  [[nodiscard]] Duration call_timeout() const;
+  [[nodiscard]] ListCallFailure call_failure() const;
+  void update_freshness();
   void call_next();
   void connect();
   void on_ready();
@@ -81,6 +101,7 @@
   void on_answer(const std::string& body, bool closes);
   void on_list(const EndpointSnapshot& list);
   void on_broken(bool may_be_stale);
+  void repeat_on_new_connection();
   void close();
 
   EventLoop& loop_;
@@ -90,14 +111,22 @@
   Callbacks callbacks_;
   EndpointStartTimes start_times_;
   RandomGenerator random_;
+  EndpointListFreshness freshness_;
+  ListFreshness reported_freshness_ = ListFreshness::current;
+  std::optional<TimePoint> reported_possible_start_at_;
+  TimePoint outdated_since_ = 0;  // when the list was last current
+  EventLoop::Deadline freshness_deadline_;
+  EventLoop::Deadline pending_call_deadline_;
   std::int64_t version_ = 0;
   bool is_watching_ = false;         // watching is requested; there may be no call in progress
   bool is_fetching_ = false;         // the complete list is requested
   bool needs_complete_list_ = true;  // no list has been received from this address yet
   bool is_call_in_progress_ = false;
-  bool is_reused_connection_ = false;  // the connection has served an earlier call
-  bool last_watch_timed_out_ = false;  // a watch has timed out, and no list has been received since
-  bool retry_immediately_ = false;     // the call that failed last was a watch that timed out
+  CallKind call_kind_ = CallKind::fetch;  // of the call in progress, or of the last one
+  bool has_failed_locally_ = false;       // the call could not be made because of a fault of this machine
+  bool is_reused_connection_ = false;     // the connection has served an earlier call
+  bool last_watch_timed_out_ = false;     // a watch has timed out, and no list has been received since
+  bool retry_immediately_ = false;        // the call that failed last was a watch that timed out
   TimePoint called_at_ = 0;
   // When this node is deemed notified of changes that it may have missed; empty if it has missed none.
   std::optional<TimePoint> deemed_notified_at_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,9 +39,11 @@
                  .shutdown = shutdown_,
                  .events = events_,
                  .random = random_}),
-      discovery_(loop, counters_, configuration_.discovery, limits_, configuration_.seed,
+      discovery_(loop, counters_, configuration_.discovery, limits_, settings_.policy, configuration_.seed,
                  {.on_list = [this](const EndpointSnapshot& list) { on_list_received(list); },
-                  .on_watch_lost = [this] { on_watch_lost(); }}),
+                  .on_watch_lost = [this] { on_watch_lost(); },
+                  .on_freshness_changed =
+                      [this](const EndpointListFreshness& freshness) { on_freshness_changed(freshness); }}),
       health_checker_(loop, counters_, limits_,
                       [this](const std::string& endpoint, const HealthCheckResult& health_check) {
                         on_health_check_ended(endpoint, health_check);
@@ -66,6 +68,9 @@
   const EndpointSnapshot cached_list = cached_endpoint_list();
   apply_endpoint_list(cached_list);
   events_.add(EndpointsCached{.endpoints = cached_list.entries});
+  discovery_.start();
+  // The node is ready for clients when it has an endpoint list to decide by.
+  requests_.set_answers_pings(discovery_.freshness().state() != ListFreshness::awaiting);
   process_events();
   schedule_watch();
   run_periodic_tasks();
@@ -116,6 +121,7 @@
 
 void Node::on_list_received(const EndpointSnapshot& list) {
   consecutive_watch_failures_ = 0;
+  endpoints_.set_confirmed();
   apply_endpoint_list(list);
   if (list.is_complete) {
     events_.add(EndpointsSnapshot{.endpoints = list.entries});
@@ -124,6 +130,14 @@
   }
 }
 
+void Node::on_freshness_changed(const EndpointListFreshness& freshness) {
+  events_.add(EndpointListFreshnessChanged{.freshness = freshness.state(),
+                                           .possible_start_at = freshness.possible_start_at()});
+  if (freshness.state() != ListFreshness::awaiting) {
+    requests_.set_answers_pings(true);
+  }
+}
+
 void Node::on_watch_lost() {
   ++consecutive_watch_failures_;
   events_.add(EndpointWatchFailed{});
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -57,6 +57,7 @@
   void apply_endpoint_list(const EndpointSnapshot& list);
   void on_list_received(const EndpointSnapshot& list);
   void on_watch_lost();
+  void on_freshness_changed(const EndpointListFreshness& freshness);
   void on_health_check_ended(const std::string& endpoint, const HealthCheckResult& health_check);
   void run_periodic_tasks();
   void exchange_gossip();
--- a/src/node/proxied_connection.h
+++ b/src/node/proxied_connection.h
@@ -62,6 +62,7 @@
   RequestLine request;
   AttemptState attempt;
   RelayState relay;
+  int unanswered_pings = 0;         ///< before the request line
   std::size_t discarded_bytes = 0;  ///< received and discarded while closing
 };
 
--- a/src/node/request_handler.cpp
+++ b/src/node/request_handler.cpp
@@ -357,8 +357,10 @@
   if (request.is_between_attempts) {
     return false;  // the ledger did not allow the attempt
   }
-  const bool is_listed = !endpoints_.address(request.endpoint).empty();
-  const bool is_permitted = endpoints_.permits(request.endpoint, EndpointUse::reconnect);
+  // A cached list may be too old to name the endpoint or its present state.
+  const bool is_confirmed = endpoints_.is_confirmed();
+  const bool is_listed = !is_confirmed || !endpoints_.address(request.endpoint).empty();
+  const bool is_permitted = !is_confirmed || endpoints_.permits(request.endpoint, EndpointUse::reconnect);
   const auto violation =
       ledger_.check_attempt(id_of(handle), endpoints_.location(request.endpoint), is_permitted, loop_.now());
   std::optional<Duration> delay =
--- a/src/node/request_handler.h
+++ b/src/node/request_handler.h
@@ -41,6 +41,9 @@
   /// Starts accepting clients at `address`. Returns an error message on failure, otherwise nothing.
   std::optional<std::string> listen(const sockaddr_in& address) { return connections_.listen(address); }
 
+  /// Sets whether PING is answered. PINGs that are not are answered as soon as it is set to true.
+  void set_answers_pings(bool answers_pings) { connections_.set_answers_pings(answers_pings); }
+
   /// Starts an attempt at an endpoint.
   /// @param timeout for the whole attempt, in ticks of 0.1 ms.
   void start_attempt(const std::string& id, const std::string& endpoint, Duration timeout);
--- a/src/node/shadow.cpp
+++ b/src/node/shadow.cpp
@@ -137,6 +137,7 @@
                  [&](const EndpointsSnapshot&) { return Translated(event); },
                  [&](const EndpointsUpdate&) { return Translated(event); },
                  [&](const EndpointWatchFailed&) { return Translated(event); },
+                 [&](const EndpointListFreshnessChanged&) { return Translated(event); },
                  [&](const ShutdownStarted&) { return Translated(event); },
                  [&](const HealthCheckEnded&) { return Translated(event); },
                  [&](const GossipReceived&) { return Translated(event); },
--- a/src/policy/endpoint.cpp
+++ b/src/policy/endpoint.cpp
@@ -111,6 +111,11 @@
   shed_connections_if_due();
 }
 
+void Endpoint::handle(const ListFreshnessObserved& message) {
+  slow_start_.set_possible_start_at(message.possible_start_at);
+  handle(EndpointWakeUp{message.fleet});
+}
+
 void Endpoint::handle(const AdmissionRequest& message) {
   fleet_ = message.candidates.fleet;
   admit_or_decline(message.candidates);
@@ -268,8 +273,10 @@
   context_.post_to_request_table(std::move(declined));
 }
 
+// While the list is awaited, a health check could be new work for an endpoint that drains or has just
+// started.
 bool Endpoint::may_check_health() const {
-  return state_ == EndpointState::healthy && check_schedule_.may_start_check();
+  return !context_.awaits_list() && state_ == EndpointState::healthy && check_schedule_.may_start_check();
 }
 
 void Endpoint::check_health_if_due() {
--- a/src/policy/endpoint.h
+++ b/src/policy/endpoint.h
@@ -33,6 +33,7 @@
   void handle(const EndpointListed& message);
   void handle(const EndpointUnlisted& message);
   void handle(const EndpointWakeUp& message);
+  void handle(const ListFreshnessObserved& message);
   void handle(const AdmissionRequest& message);
   void handle(const ConnectionRestored& message);
   void handle(const AttemptSucceeded& message);
--- a/src/policy/endpoint_set.cpp
+++ b/src/policy/endpoint_set.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <memory>
 #include <optional>
 
 #include "policy/constants.h"
@@ -44,8 +45,27 @@
   list_watch_.record_failure(context_.now, context_.random.next_fraction());
 }
 
-void EndpointSet::handle(const ShutdownStarted& /*message*/) {
+void EndpointSet::handle(const EndpointListFreshnessChanged& message) {
+  const FleetStatistics fleet = collect_statistics();
+  for (const std::string& endpoint : known_endpoints_) {
+    context_.post_to_endpoint(endpoint, ListFreshnessObserved{fleet, message.possible_start_at});
+  }
+  if (!context_.awaits_list()) {
+    release_held_selections();
+  }
+}
+
+// Held requests are given up in time for the shutdown's answers.
+void EndpointSet::handle(const ShutdownStarted& message) {
   shutdown_started_at_ = context_.now;
+  if (message.answer_deadline <= 0) {
+    return;
+  }
+  auto held = std::exchange(held_selections_, {});
+  for (auto& [give_up_at, selection] : held) {
+    held_selections_.emplace(std::min(give_up_at, message.answer_deadline - time_to_set_up()),
+                             std::move(selection));
+  }
 }
 
 void EndpointSet::handle(const TimerFired& /*message*/) {
@@ -53,6 +73,7 @@
   is_freeze_check_due_ = false;
   watch_list_if_due();
   migrate_for_shutdown();
+  reject_held_selections_if_due();
   const FleetStatistics fleet = collect_statistics();
   for (auto due = wake_up_queue_.begin(); due != wake_up_queue_.end() && due->first <= context_.now; ++due) {
     context_.post_to_endpoint(due->second, EndpointWakeUp{fleet});
@@ -74,18 +95,59 @@
 }
 
 void EndpointSet::handle(const SelectEndpoints& message) {
-  const std::optional<std::int64_t>& group = message.query->request.affinity_group;
+  if (context_.awaits_list()) {
+    return hold(message);
+  }
+  select(message);
+}
+
+void EndpointSet::select(SelectEndpoints selection) {
+  const std::optional<std::int64_t>& group = selection.query->request.affinity_group;
   statistics_.count_selection(context_.now, group);
-  if (message.query->tried_endpoints.empty()) {
+  if (selection.query->tried_endpoints.empty()) {
     statistics_.count_arrival(context_.now);
   }
-  SelectEndpoints selection{message.query, collect_statistics()};
+  selection.fleet = collect_statistics();
   if (group) {
     selection.fleet.group_selections = statistics_.recent_selections_of(*group);
   }
   context_.post_to_selector(std::move(selection));
 }
 
+// A request waits until the list is current, at most until an attempt could no longer succeed in time.
+void EndpointSet::hold(SelectEndpoints selection) {
+  const TimePoint give_up_at = selection.query->request.deadline - time_to_set_up();
+  held_selections_.emplace(give_up_at, std::move(selection));
+  reject_held_selections_if_due();
+}
+
+void EndpointSet::release_held_selections() {
+  if (!held_selections_.empty()) {
+    context_.log("held_requests_released count=" + std::to_string(held_selections_.size()));
+  }
+  for (auto& [give_up_at, selection] : std::exchange(held_selections_, {})) {
+    select(std::move(selection));
+  }
+}
+
+// A request without candidates gets its final answer.
+void EndpointSet::reject_held_selections_if_due() {
+  while (!held_selections_.empty() && held_selections_.begin()->first <= context_.now) {
+    const RequestAttributes& request = held_selections_.begin()->second.query->request;
+    CandidateList no_candidates;
+    no_candidates.request_id = request.id;
+    no_candidates.deadline = request.deadline;
+    no_candidates.endpoints = std::make_shared<const std::vector<std::string>>();
+    context_.post_to_request_table(std::move(no_candidates));
+    held_selections_.erase(held_selections_.begin());
+  }
+}
+
+// The timer fires up to kTimerInterval late.
+Duration EndpointSet::time_to_set_up() const {
+  return context_.settings.connect_timeout + kTimerInterval;
+}
+
 void EndpointSet::replace_list(const std::vector<EndpointEntry>& entries) {
   std::set<std::string> removed = known_endpoints_;
   for (const EndpointEntry& entry : entries) {
@@ -158,6 +220,9 @@
     due = context_.now;
   }
   due = std::min(due, list_watch_.next_call_at());
+  if (!held_selections_.empty()) {
+    due = std::min(due, held_selections_.begin()->first);
+  }
   if (!weights_frozen_) {
     due = std::min(due, list_watch_.silent_from());
   }
--- a/src/policy/events.h
+++ b/src/policy/events.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "policy/endpoint_list_freshness.h"
 
 namespace dapplewharf {
 
@@ -62,6 +63,14 @@
 /// A call to the endpoint list service failed, or the watch on it broke.
 struct EndpointWatchFailed {};
 
+/// The freshness of the endpoint list has changed. Without such an event the list counts as current.
+struct EndpointListFreshnessChanged {
+  ListFreshness freshness = ListFreshness::current;
+  // The latest time at which an endpoint may have started that the list describes as older; nothing if the
+  // list is to be relied on.
+  std::optional<TimePoint> possible_start_at;
+};
+
 /// This node shuts down soon; its connections have to migrate.
 struct ShutdownStarted {
   TimePoint answer_deadline = 0;  // by when every request must have been answered; 0: no limit
@@ -156,9 +165,10 @@
   std::optional<double> connections_elsewhere;  // absent: no longer known
 };
 
-using PolicyEvent = std::variant<EndpointsCached, EndpointsSnapshot, EndpointsUpdate, EndpointWatchFailed,
-                                 ShutdownStarted, RequestReceived, ConnectionAdopted, AttemptEstablished,
-                                 AttemptEnded, LoadReported, LatencyReported, RequestStalled,
-                                 ClientDisconnected, TimerFired, HealthCheckEnded, GossipReceived>;
+using PolicyEvent =
+    std::variant<EndpointsCached, EndpointsSnapshot, EndpointsUpdate, EndpointWatchFailed,
+                 EndpointListFreshnessChanged, ShutdownStarted, RequestReceived, ConnectionAdopted,
+                 AttemptEstablished, AttemptEnded, LoadReported, LatencyReported, RequestStalled,
+                 ClientDisconnected, TimerFired, HealthCheckEnded, GossipReceived>;
 
 }  // namespace dapplewharf
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -35,6 +35,10 @@
   void route(const EndpointsSnapshot& event) { context.post_to_endpoint_set(event); }
   void route(const EndpointsUpdate& event) { context.post_to_endpoint_set(event); }
   void route(const EndpointWatchFailed& event) { context.post_to_endpoint_set(event); }
+  void route(const EndpointListFreshnessChanged& event) {
+    context.list_freshness = event.freshness;
+    context.post_to_endpoint_set(event);
+  }
   void route(const TimerFired& event) { context.post_to_endpoint_set(event); }
   void route(const ShutdownStarted& event) {
     context.post_to_request_table(event);
--- a/src/policy/messages.h
+++ b/src/policy/messages.h
@@ -44,6 +44,12 @@
   FleetStatistics fleet;
 };
 
+/// The freshness of the endpoint list has changed; PolicyContext::list_freshness has the new one.
+struct ListFreshnessObserved {
+  FleetStatistics fleet;
+  std::optional<TimePoint> possible_start_at;  // as in EndpointListFreshnessChanged
+};
+
 /// The endpoints that may take a request, and which of them is asked next.
 struct CandidateList {
   std::string request_id;
@@ -84,9 +90,9 @@
   std::optional<double> connections_elsewhere;
 };
 
-using EndpointMessage =
-    std::variant<EndpointListed, EndpointUnlisted, EndpointWakeUp, AdmissionRequest, ConnectionRestored,
-                 AttemptSucceeded, AttemptFinished, LatencyObserved, GossipObserved, HealthCheckEnded>;
+using EndpointMessage = std::variant<EndpointListed, EndpointUnlisted, EndpointWakeUp, ListFreshnessObserved,
+                                     AdmissionRequest, ConnectionRestored, AttemptSucceeded, AttemptFinished,
+                                     LatencyObserved, GossipObserved, HealthCheckEnded>;
 
 // --- to the endpoint set and the selector ---
 
@@ -120,9 +126,9 @@
   FleetStatistics fleet;  // filled in by the endpoint set
 };
 
-using EndpointSetMessage =
-    std::variant<EndpointsCached, EndpointsSnapshot, EndpointsUpdate, EndpointWatchFailed, ShutdownStarted,
-                 TimerFired, EndpointStatusChanged, SelectEndpoints>;
+using EndpointSetMessage = std::variant<EndpointsCached, EndpointsSnapshot, EndpointsUpdate,
+                                        EndpointWatchFailed, EndpointListFreshnessChanged, ShutdownStarted,
+                                        TimerFired, EndpointStatusChanged, SelectEndpoints>;
 using SelectorMessage = std::variant<EndpointStatusChanged, WeightsFreezeChanged, SelectEndpoints>;
 
 // --- to the request table ---
@@ -171,6 +177,7 @@
   Settings settings;
   RandomGenerator random;
   TimePoint now = 0;
+  ListFreshness list_freshness = ListFreshness::current;
   std::vector<PolicyAction> actions{};                                         // of the current call
   std::vector<std::pair<std::string, EndpointMessage>> posted_to_endpoints{};  // with the endpoint's id
   Mailbox<EndpointSetMessage> endpoint_set{};
@@ -182,6 +189,8 @@
   void add_action(Action&& action) {
     actions.emplace_back(std::forward<Action>(action));
   }
+  // Whether new work waits for the endpoint list.
+  [[nodiscard]] bool awaits_list() const { return list_freshness == ListFreshness::awaiting; }
   void log(std::string text) { actions.push_back(LogMessage{std::move(text)}); }
   template <class Message>
   void post_to_endpoint(const std::string& endpoint, Message&& message) {
--- a/src/policy/request_table.cpp
+++ b/src/policy/request_table.cpp
@@ -293,6 +293,9 @@
   if (is_shed || no_candidate_left || context_.now >= request->attributes.deadline) {
     return send_final_answer(*request);
   }
+  if (context_.awaits_list()) {
+    return select_endpoints(*request);  // the candidates were selected by a list that may be outdated
+  }
   const std::string& endpoint = (*candidates.endpoints)[candidates.next_index];
   AdmissionRequest message{candidates};
   ++message.candidates.next_index;
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -26,7 +26,8 @@
     : settings_(settings), endpoint_hash_(static_cast<double>(hash(endpoint_id) >> 40)) {}
 
 Duration SlowStart::age(TimePoint now) const {
-  return started_at_ > 0 ? now - started_at_ : settings_.warm_up_time;
+  const Duration known_age = started_at_ > 0 ? now - started_at_ : settings_.warm_up_time;
+  return possible_start_at_ ? std::min(known_age, now - *possible_start_at_) : known_age;
 }
 
 TimePoint SlowStart::ends_at() const {
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -3,6 +3,7 @@
 // the endpoint's age, which is the same at every node, when it is the node's turn to open a connection. Such
 // a turn is called a slot. Design: docs/design.md.
 #pragma once
+#include <optional>
 #include <string>
 
 #include "base/random.h"
@@ -35,13 +36,20 @@
   void set_started_at(TimePoint started_at) { started_at_ = started_at; }
   [[nodiscard]] TimePoint started_at() const { return started_at_; }
 
-  /// The time since the endpoint's start; the whole warm-up time if the start is long ago.
+  /// Sets the latest time at which the endpoint may have started without this node's having been told;
+  /// nothing if its start time is to be relied on.
+  void set_possible_start_at(std::optional<TimePoint> possible_start_at) {
+    possible_start_at_ = possible_start_at;
+  }
+
+  /// The time since the endpoint's start; the whole warm-up time if the start is long ago. If the endpoint
+  /// may have started later than it is said to, the time since then.
   [[nodiscard]] Duration age(TimePoint now) const;
 
   /// Whether the endpoint is still in slow start.
   [[nodiscard]] bool is_active(TimePoint now) const { return age(now) < settings_.warm_up_time; }
 
-  /// When slow start ends; 0 if the endpoint started long ago.
+  /// When slow start ends, going by the start time alone; 0 if the endpoint started long ago.
   [[nodiscard]] TimePoint ends_at() const;
 
   /// Whether this node may open one more connection to the endpoint during slow start.
@@ -66,6 +74,7 @@
   const Settings& settings_;
   double endpoint_hash_;
   TimePoint started_at_ = 0;
+  std::optional<TimePoint> possible_start_at_;
 };
 
 }  // namespace dapplewharf
--- a/tests/node/deployments_test.cpp
+++ b/tests/node/deployments_test.cpp
@@ -75,6 +75,7 @@
       endpoint["zone"] = settings["zone"];
     }
   });
+  harness.discovery_responses = {NodeHarness::http(R"({"generation":1,"reset":false,"instances":[]})")};
   const std::string tenant =
       settings.contains("realms") ? settings["realms"][0]["name"].get<std::string>() : "any";
   std::vector<int> clients;
--- a/tests/node/endpoint_discovery_test.cpp
+++ b/tests/node/endpoint_discovery_test.cpp
@@ -154,9 +154,11 @@
   checker.check("h0", address);
   EXPECT_EQ(health_check_reason, TerminationReason::no_descriptor);
   bool is_watch_lost = false;
-  EndpointDiscovery discovery(
-      loop, counters, address, limits, 1,
-      {.on_list = [](const EndpointSnapshot&) {}, .on_watch_lost = [&] { is_watch_lost = true; }});
+  const Settings settings;
+  EndpointDiscovery discovery(loop, counters, address, limits, settings, 1,
+                              {.on_list = [](const EndpointSnapshot&) {},
+                               .on_watch_lost = [&] { is_watch_lost = true; },
+                               .on_freshness_changed = [](const EndpointListFreshness&) {}});
   discovery.fetch();
   for (int i = 0; i < 5; ++i) {
     loop.run_once(100);
--- a/tests/node/request_handler_test.cpp
+++ b/tests/node/request_handler_test.cpp
@@ -17,6 +17,7 @@
 
 TEST(RequestHandler, AdoptedConnectionReconnectsToItsEndpointOrIsAnsweredErr) {
   NodeHarness harness;
+  harness.discovery_responses = {NodeHarness::http(R"({"generation":1,"reset":false,"instances":[]})")};
   const int client = harness.connect_client("OPEN 1 2 c=plain,t=x,d=4294967,at=h2\r\n");
   const int host = harness.accept_endpoint_connection();
   EXPECT_EQ(harness.read(host).substr(0, 11), "OPEN 1 2 c=");
--- /dev/null
+++ b/tests/policy/endpoint_list_freshness_test.cpp
@@ -0,0 +1,73 @@
+// Tests of when an endpoint list counts as outdated, and of what the load balancer does then.
+#include "policy/endpoint_list_freshness.h"
+
+#include "support/fixtures.h"
+
+using namespace dapplewharf;
+
+namespace {
+
+Settings settings(bool polls_endpoint_list) {
+  Settings settings;
+  settings.polls_endpoint_list = polls_endpoint_list;
+  return settings;
+}
+
+}  // namespace
+
+TEST(EndpointListFreshness, NewWorkWaitsOnlySoLongForAServiceThatPushesChanges) {
+  const Settings pushed = settings(false);
+  EndpointListFreshness freshness(pushed);
+  freshness.record_start(0);
+  freshness.record_call_failure(kSecond, ListCallFailure::unavailable);
+  EXPECT_EQ(freshness.state(), ListFreshness::unconfirmed);
+  EXPECT_EQ(freshness.possible_start_at(), kSecond);
+  freshness.record_call_pending(5 * kSecond);
+  freshness.record_call_failure(6 * kSecond, ListCallFailure::unanswered);
+  EXPECT_EQ(freshness.state(), ListFreshness::awaiting) << "the service may be up again";
+  EXPECT_EQ(freshness.next_change_at(), 7 * kSecond) << "1 of 3 s has been used";
+  freshness.advance(7 * kSecond);
+  EXPECT_EQ(freshness.possible_start_at(), 7 * kSecond);
+  freshness.record_call_pending(8 * kSecond);
+  EXPECT_EQ(freshness.state(), ListFreshness::unconfirmed);
+  freshness.record_list();
+  EXPECT_EQ(freshness.state(), ListFreshness::current);
+  freshness.record_watch_lost(20 * kSecond);
+  EXPECT_EQ(freshness.state(), ListFreshness::awaiting);
+  freshness.advance(22 * kSecond);
+  EXPECT_EQ(freshness.state(), ListFreshness::unconfirmed);
+  EXPECT_FALSE(freshness.possible_start_at());
+}
+
+TEST(EndpointListFreshness, PolledListIsReliedOnUntilTheNodeCountsAsNotified) {
+  const Settings polled = settings(true);
+  EndpointListFreshness freshness(polled);
+  freshness.record_start(0);
+  freshness.record_watch_lost(kSecond);
+  freshness.record_call_failure(2 * kSecond, ListCallFailure::unanswered);
+  EXPECT_EQ(freshness.next_change_at(), kNever) << "the service may be down";
+  freshness.record_call_failure(3 * kSecond, ListCallFailure::overloaded);
+  EXPECT_EQ(freshness.next_change_at(), 9 * kSecond) << "6 s after the service could be reached";
+  freshness.record_notification(4 * kSecond);  // a new address of the service
+  freshness.advance(4 * kSecond - 1);
+  EXPECT_EQ(freshness.state(), ListFreshness::current);
+  freshness.advance(4 * kSecond);
+  EXPECT_EQ(freshness.state(), ListFreshness::awaiting);
+}
+
+// Guards against endpoints that have started while the node was away and are taken for warm.
+TEST(EndpointListFreshness, WhileStartTimesAreUnreliableEveryEndpointGetsWhatOneInSlowStartBears) {
+  LoadBalancerHarness harness;
+  harness.start(4);
+  harness.load_balancer->handle_events(
+      harness.now, {EndpointListFreshnessChanged{ListFreshness::unconfirmed, harness.now}});
+  int admitted = 0;
+  for (int i = 0; i < 50; ++i) {
+    admitted += harness.send_request("a" + std::to_string(i), i).empty() ? 0 : 1;
+  }
+  EXPECT_GE(admitted, 4);
+  EXPECT_LE(admitted, 8) << "one or two for each endpoint";
+  harness.load_balancer->handle_events(harness.now,
+                                       {EndpointListFreshnessChanged{ListFreshness::current, std::nullopt}});
+  EXPECT_FALSE(harness.send_request("b").empty());
+}
--- a/tests/policy/reconnect_policy_test.cpp
+++ b/tests/policy/reconnect_policy_test.cpp
@@ -183,6 +183,7 @@
 TEST(ReconnectPolicy, UnlistedEndpointGetsAnErrorWithinTheTimeForUnusableRequestLines) {
   const FaultsCleared faults_cleared;
   NodeHarness harness;
+  harness.discovery_responses = {NodeHarness::http(R"({"generation":1,"reset":false,"instances":[]})")};
   const int client = harness.connect_client(reconnect_line("nobody"));
   EXPECT_EQ(harness.read(client, 5, kErrorAnswerMs), "ERR\r\n");
 }
