A list in doubt: endpoints get little new work, and none after a rejection

A process that has had no list, while discovery is down, took 29 of 140 returning clients in 8 s, since it estimated what an endpoint sustains from its own few connections. It now gives an endpoint whose start time is in doubt at least two connections of all nodes within the overload window (any capacity bears three), and none after a rejection, which a draining endpoint answers, until the list is confirmed.

A watch that falls silent counts as missed from 6 s after its call, where lists are pushed as well; at once would hold new work up for as long as a crowded discovery takes, after every watch.

SlowStartFleet plays restarts with a cached list too: 4, 30 and 350 nodes, at most 11 of 11.0 connections.

--- a/src/node/endpoint_discovery.cpp
+++ b/src/node/endpoint_discovery.cpp
@@ -222,7 +222,6 @@
     last_watch_timed_out_ = true;
     retry_immediately_ = true;
     freshness_.record_notification(*deemed_notified_at_);
-    freshness_.record_watch_lost(loop_.now());
   }
   on_broken(false);
 }
--- a/src/policy/endpoint.cpp
+++ b/src/policy/endpoint.cpp
@@ -113,6 +113,8 @@
 
 void Endpoint::handle(const ListFreshnessObserved& message) {
   slow_start_.set_possible_start_at(message.possible_start_at);
+  is_list_in_doubt_ = message.possible_start_at.has_value();
+  may_be_draining_ = may_be_draining_ && is_list_in_doubt_;
   handle(EndpointWakeUp{message.fleet});
 }
 
@@ -135,6 +137,7 @@
     connection_lost_at_ = context_.now;
   }
   status_.open_connections = std::max(0, status_.open_connections - 1);
+  may_be_draining_ = may_be_draining_ || (is_list_in_doubt_ && message.outcome == Outcome::rejected);
   if (!is_endpoint_failure(message.outcome)) {
     return;
   }
@@ -185,7 +188,7 @@
   if (state_ != EndpointState::healthy) {
     return may_resume_while_draining(is_mid_connection);
   }
-  if (!is_in_service()) {
+  if (!is_in_service() || (may_be_draining_ && !is_mid_connection)) {
     return false;
   }
   if (slow_start_.is_active(context_.now)) {
--- a/src/policy/endpoint.h
+++ b/src/policy/endpoint.h
@@ -86,6 +86,8 @@
 
   EndpointState state_ = EndpointState::removed;
   bool was_listed_ = false;              // the list has named it as healthy at some time
+  bool is_list_in_doubt_ = false;        // it is a cached list, and later changes may have been missed
+  bool may_be_draining_ = false;         // it has rejected a request while the list was in doubt
   bool is_removal_unconfirmed_ = false;  // the list removed it without a drain; health checks decide
   TimePoint left_service_at_ = 0;
   std::optional<TimePoint> connection_lost_at_;  // when an established connection last broke
--- a/src/policy/endpoint_list_freshness.cpp
+++ b/src/policy/endpoint_list_freshness.cpp
@@ -49,6 +49,7 @@
 void EndpointListFreshness::record_call_failure(TimePoint now, ListCallFailure failure) {
   switch (failure) {
     case ListCallFailure::unanswered:
+      notified_despite_overload_at_.reset();  // the service may be down
       return;
     case ListCallFailure::overloaded:
       if (state_ == ListFreshness::current) {
--- a/src/policy/endpoint_list_freshness.h
+++ b/src/policy/endpoint_list_freshness.h
@@ -46,8 +46,8 @@
   void record_start(TimePoint now);
   /// Records that the newest list has been received.
   void record_list();
-  /// Records that the watch ended or went unanswered, so that changes may be missed from now on. Where the
-  /// service pushes changes, the node counts as notified of them.
+  /// Records that the watch ended, so that changes may be missed from now on. Where the service pushes
+  /// changes, the node counts as notified of them at once.
   void record_watch_lost(TimePoint now);
   /// Records that this node counts as notified, from `at` on, of changes that it may have missed.
   void record_notification(TimePoint at);
@@ -77,7 +77,7 @@
   bool has_received_list_ = false;
   // From then on this node counts as notified of changes that it may have missed.
   std::optional<TimePoint> notified_at_;
-  // The same for changes that an overloaded service had while it turned calls away.
+  // The same for changes that an overloaded service has had while it has turned all calls away.
   std::optional<TimePoint> notified_despite_overload_at_;
   TimePoint awaiting_since_ = 0;
   Duration awaited_ = 0;  // since the list was current, without the wait in progress
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -19,6 +19,10 @@
 // It is above 1 because connections opened since the last gossip message are not known to the other nodes
 // yet.
 constexpr double kConcentrationWithGossip = 1.5;
+// Connections of all nodes within the overload window that an endpoint of unknown capacity gets, and one
+// whose start time is in doubt. An endpoint of any capacity bears at least 3.
+constexpr double kMinConnections = 1;
+constexpr double kMinConnectionsIfStartInDoubt = 2;
 
 }  // namespace
 
@@ -46,14 +50,19 @@
   if (age <= 0) {
     return 0;
   }
+  const double min_connections = possible_start_at_ ? kMinConnectionsIfStartInDoubt : kMinConnections;
+  const double min_allowance =
+      min_connections * age / static_cast<double>(settings_.overload_window) / settings_.node_count;
   const double sustainable = sustainable_connections(conditions);
   if (sustainable <= 0) {
-    return age / static_cast<double>(settings_.overload_window) / settings_.node_count;
+    return min_allowance;
   }
   const double warm_up = std::max(static_cast<double>(settings_.warm_up_time), 1.0);
   const double cold_share = settings_.cold_capacity_share;
   const double capacity_time = cold_share * age + (1 - cold_share) * age * age / warm_up / 2;
-  return sustainable * capacity_time / warm_up;
+  const double allowance = sustainable * capacity_time / warm_up;
+  // A process that has just started has few connections to estimate the sustainable number from.
+  return possible_start_at_ ? std::max(allowance, min_allowance) : allowance;
 }
 
 // The phase of this node's slots, as a fraction of one slot. It differs between nodes and between endpoints,
--- a/tests/node/start_before_first_list_test.cpp
+++ b/tests/node/start_before_first_list_test.cpp
@@ -111,3 +111,17 @@
   harness.write(harness.accept_endpoint_connection(), "UP x\r\n");
   EXPECT_EQ(harness.read(client), "UP x\r\n");
 }
+
+// Guards against new work by the list of before once a reloaded node counts as notified by its new discovery.
+TEST(StartBeforeFirstList, NewWorkWaitsForANewDiscoveryThatHasNotAnsweredInTime) {
+  NodeHarness harness;
+  harness.discovery_responses = {NodeHarness::http(kNoChanges)};
+  EXPECT_TRUE(harness.run_until([&] { return harness.discovery_responses.empty(); }));
+  harness.reload_with_new_discovery();
+  harness.run_for(4100);
+  const int client = harness.connect_client(request_line());
+  harness.run_for(300);
+  EXPECT_FALSE(has_endpoint_connection(harness));
+  harness.discovery_responses = {list_with_all(harness, "draining"), list_with_all(harness, "draining")};
+  EXPECT_EQ(harness.read(client).substr(0, 4), "BUSY");
+}
--- a/tests/policy/endpoint_list_freshness_test.cpp
+++ b/tests/policy/endpoint_list_freshness_test.cpp
@@ -46,6 +46,9 @@
   freshness.record_watch_lost(kSecond);
   freshness.record_call_failure(2 * kSecond, ListCallFailure::unanswered);
   EXPECT_EQ(freshness.next_change_at(), kNever) << "the service may be down";
+  freshness.record_call_failure(2 * kSecond, ListCallFailure::overloaded);
+  freshness.record_call_failure(3 * kSecond, ListCallFailure::unanswered);
+  EXPECT_EQ(freshness.next_change_at(), kNever) << "it may have gone down since";
   freshness.record_call_failure(3 * kSecond, ListCallFailure::overloaded);
   EXPECT_EQ(freshness.next_change_at(), 9 * kSecond) << "6 s after the service could be reached";
   freshness.record_notification(4 * kSecond);  // a new address of the service
@@ -71,3 +74,18 @@
                                        {EndpointListFreshnessChanged{ListFreshness::current, std::nullopt}});
   EXPECT_FALSE(harness.send_request("b").empty());
 }
+
+// Guards against an endpoint that drained while the node was away and is offered one request after the other.
+TEST(EndpointListFreshness, EndpointThatRejectsARequestGetsNoOtherUntilTheListIsConfirmed) {
+  LoadBalancerHarness harness;
+  harness.start(1);
+  harness.load_balancer->handle_events(
+      harness.now, {EndpointListFreshnessChanged{ListFreshness::unconfirmed, harness.now}});
+  EXPECT_EQ(harness.send_request("a"), "h0");
+  harness.end_attempt("a", Outcome::rejected);
+  harness.advance_time(60000);
+  EXPECT_EQ(harness.send_request("b"), "");
+  harness.load_balancer->handle_events(harness.now,
+                                       {EndpointListFreshnessChanged{ListFreshness::current, std::nullopt}});
+  EXPECT_EQ(harness.send_request("c"), "h0");
+}
--- a/tests/policy/slow_start_fleet_test.cpp
+++ b/tests/policy/slow_start_fleet_test.cpp
@@ -17,12 +17,16 @@
 constexpr double kOverloadWindow = 1500 * kMs;
 constexpr int kWarmEndpoints = 6;
 constexpr Duration kStep = 200 * kMs;
+constexpr Duration kListOutage = 35 * kStep;
+constexpr TimePoint kRestartAges[] = {5 * kStep, 40 * kStep};
 
 struct Case {
   int nodes;
   bool has_even_traffic;  // otherwise the busiest node gets about twenty times the least busy one's traffic
   bool has_surge;
   bool has_restarts;  // seven in ten nodes restart twice
+  // They then have a cached list in which the endpoint is warm, until the list service is back.
+  bool has_list_outage = false;
 };
 
 // The overload window in which the endpoint in slow start got the most connections relative to the bound.
@@ -58,6 +62,22 @@
   return harness;
 }
 
+// Tells a node of the endpoint in slow start; during the outage of the list service, as the cached list has
+// it.
+void list_cold_endpoint(LoadBalancerHarness& harness, const Case& test_case, TimePoint started_at) {
+  Duration since_restart = kNever;
+  for (const TimePoint restart_age : kRestartAges) {
+    const Duration since = harness.now - started_at - restart_age;
+    since_restart = since >= 0 ? since : since_restart;
+  }
+  const bool is_in_doubt = test_case.has_list_outage && since_restart < kListOutage;
+  harness.update_endpoint(LoadBalancerHarness::endpoint_entry("cold", "near", is_in_doubt ? 0 : started_at),
+                          EndpointState::healthy);
+  const EndpointListFreshnessChanged in_doubt{ListFreshness::unconfirmed, harness.now};
+  harness.load_balancer->handle_events(harness.now,
+                                       {is_in_doubt ? in_doubt : EndpointListFreshnessChanged{}});
+}
+
 WorstWindow run_case(const Case& test_case, std::uint64_t seed) {
   RandomGenerator random(seed);
   const TimePoint start = 1000000;
@@ -96,15 +116,19 @@
       auto& own_connections = connections_by_node[static_cast<std::size_t>(i)];
       // Seven in ten nodes restart and lose their state, once within the first overload window and once
       // later.
-      if (test_case.has_restarts && i % 10 < 7 && (age == 5 * kStep || age == 40 * kStep)) {
+      const bool restarts = test_case.has_restarts && i % 10 < 7;
+      if (restarts &&
+          std::find(std::begin(kRestartAges), std::end(kRestartAges), age) != std::end(kRestartAges)) {
         harness = start_node(test_case, i, seed + 1, now);
         for (const auto& [endpoint, count] : std::exchange(own_connections, {})) {
           connections[endpoint] -= count;
         }
-        harness->update_endpoint(LoadBalancerHarness::endpoint_entry("cold", "near", started_at),
-                                 EndpointState::healthy);
+        list_cold_endpoint(*harness, test_case, started_at);
       }
       harness->now = now;
+      if (restarts && test_case.has_list_outage && age == kRestartAges[0] + kListOutage) {
+        list_cold_endpoint(*harness, test_case, started_at);
+      }
       if (age == 0) {
         harness->update_endpoint(LoadBalancerHarness::endpoint_entry("cold", "near", started_at),
                                  EndpointState::healthy);
@@ -159,15 +183,17 @@
   for (const Case& test_case :
        {Case{4, true, false, false}, Case{4, false, true, false}, Case{20, false, false, true},
         Case{20, false, true, true}, Case{30, true, true, false}, Case{30, false, false, true},
-        Case{300, true, false, false}, Case{350, false, true, true}}) {
+        Case{300, true, false, false}, Case{350, false, true, true}, Case{4, true, false, true, true},
+        Case{30, false, true, true, true}, Case{350, false, false, true, true}}) {
     for (std::uint64_t seed = 1; seed <= (test_case.nodes < 100 ? 4 : 1); ++seed) {
       const WorstWindow worst = run_case(test_case, seed);
       std::printf(
-          "%d nodes, %s traffic, %s%s, seed %d: at most %.0f connections of %.1f at age %.1f s, %d in "
+          "%d nodes, %s traffic, %s%s%s, seed %d: at most %.0f connections of %.1f at age %.1f s, %d in "
           "total\n",
           test_case.nodes, test_case.has_even_traffic ? "even" : "uneven",
           test_case.has_surge ? "surge" : "no surge", test_case.has_restarts ? ", restarts" : "",
-          static_cast<int>(seed), worst.connections, worst.bound, worst.age_s, worst.sent_in_total);
+          test_case.has_list_outage ? " while the list service is down" : "", static_cast<int>(seed),
+          worst.connections, worst.bound, worst.age_s, worst.sent_in_total);
       EXPECT_LE(worst.excess, 0);
     }
   }
