Forward the test's poll to ppoll, which arm64 has as well

Cause: tests/support/system_faults.cpp forwarded poll to SYS_poll, which arm64 does not have, so that the test build stopped there. Change: it forwards to SYS_ppoll with the same timeout; a negative one waits without end as before. No check, bound or fault is changed.

--- a/tests/support/system_faults.cpp
+++ b/tests/support/system_faults.cpp
@@ -233,7 +233,9 @@
   if (fails(SystemCall::poll)) {
     return -1;
   }
-  return static_cast<int>(syscall(SYS_poll, polled, count, timeout));
+  // ppoll, since arm64 has no SYS_poll; a negative timeout waits without end, as with poll.
+  timespec wait{timeout / 1000, timeout % 1000 * 1000000L};
+  return static_cast<int>(syscall(SYS_ppoll, polled, count, timeout < 0 ? nullptr : &wait, nullptr, 0));
 }
 
 int open(const char* path, int flags, ...) {
