--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -226,13 +226,27 @@
   std::map<std::string, long> changed_in;  // the generation of each host's last change
   std::map<std::string, double> changed_at;
   std::function<double(bool waits)> answer_lag = [](bool) { return 1.0; };
+  std::atomic<bool> down{false};  // refuses connections and resets those that are open
   std::function<bool()> turns_away = [] { return false; };
 
   void start(const std::string& address) {
     ip = address;
-    const int fd = listen_at(ip, port);
+    int fd = listen_at(ip, port);
     if (fd < 0) cannot_run("discovery cannot listen");
-    serve(fd, [this](int connection) { serve_connection(connection); });
+    spawn([this, fd]() mutable {
+      while (!ending) {
+        if (down && fd >= 0) close(fd), fd = -1;  // from now on connections are refused
+        if (!down && fd < 0 && (fd = listen_at(ip, port)) < 0) cannot_run("discovery cannot listen again");
+        pollfd p{fd, POLLIN, 0};
+        if (fd < 0 || poll(&p, 1, 5) != 1) {
+          if (fd < 0) sleep_ms(5);
+          continue;
+        }
+        const int connection = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (connection >= 0) spawn([this, connection] { serve_connection(connection); });
+      }
+      if (fd >= 0) close(fd);
+    });
   }
   std::string address() const { return ip + ":" + std::to_string(port); }
   void set_state(const std::string& id, const std::string& state) {
@@ -272,8 +286,9 @@
     for (;;) {
       std::string line, request;
       Read got;
-      while ((got = reader.next(line, 500)) == Read::timeout && !ending) {
+      while ((got = reader.next(line, 20)) == Read::timeout && !ending && !down) {
       }
+      if (down) return close_with_reset(fd);
       if (got != Read::line || ending) break;
       request = line;
       while ((got = reader.next(line, 2000)) == Read::line && !line.empty()) {
@@ -287,7 +302,7 @@
       record("discovery called %s", target.c_str());
       if (after >= 0 && wait > 0) {
         const double until = now() + std::min(wait, 60000.0);
-        while (!ending && now() < until) {
+        while (!ending && !down && now() < until) {
           {
             std::lock_guard lock(mutex);
             if (generation > after) break;
@@ -295,6 +310,7 @@
           sleep_ms(2);
         }
       }
+      if (down) return close_with_reset(fd);
       const bool away = turns_away();
       sleep_ms(answer_lag(after >= 0 && wait > 0));
       const std::string body = away ? "" : list(after);
