--- a/src/node/discovery_connection.cpp
+++ b/src/node/discovery_connection.cpp
@@ -10,6 +10,15 @@
 
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 constexpr int kHttpOk = 200;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServiceUnavailable = 503;
+
+DiscoveryCallEnd end_of_refused_call(const HttpResponse& answer) {
+  const bool is_overloaded =
+      answer.state != HttpResponse::State::malformed &&
+      (answer.status == kHttpTooManyRequests || answer.status == kHttpServiceUnavailable);
+  return is_overloaded ? DiscoveryCallEnd::overloaded : DiscoveryCallEnd::refused;
+}
 
 }  // namespace
 
@@ -21,14 +30,20 @@
       return "idle_closed";
     case DiscoveryCallEnd::local_failure:
       return "local_failure";
+    case DiscoveryCallEnd::overloaded:
+      return "overloaded";
     case DiscoveryCallEnd::refused:
       return "refused";
+    case DiscoveryCallEnd::overdue:
+      return "overdue";
   }
   return "unknown";
 }
 
-void DiscoveryConnection::call(const std::string& address, const std::string& target) {
+void DiscoveryConnection::call(const std::string& address, const std::string& target,
+                               Duration request_delay) {
   address_ = address;
+  request_delay_ = request_delay;
   request_ = format_get_request(address, target);
   is_call_in_progress_ = true;
   is_reused_ = static_cast<bool>(socket_);
@@ -50,6 +65,8 @@
 
 void DiscoveryConnection::close() {
   loop_.cancel(failure_deadline_);
+  loop_.cancel(request_deadline_);
+  is_request_delayed_ = false;
   loop_.unwatch(socket_watch_);
   socket_.close();
   is_connected_ = false;
@@ -73,24 +90,35 @@
   socket_watch_ = loop_.watch(socket_.descriptor(), POLLOUT, [this](short) { on_ready(); });
 }
 
+void DiscoveryConnection::on_connected() {
+  is_connected_ = true;
+  is_request_delayed_ = request_delay_ > 0;
+  if (is_request_delayed_) {
+    loop_.schedule(request_deadline_, loop_.now() + request_delay_, [this] {
+      is_request_delayed_ = false;
+      on_ready();
+    });
+  }
+}
+
 void DiscoveryConnection::on_ready() {
   if (!is_connected_) {
     if (!socket_.is_connected()) {
       return end_call(DiscoveryCallEnd::connection_broken);
     }
-    is_connected_ = true;
+    on_connected();
   }
   if (!send_request()) {
     return end_call(is_reused_ ? DiscoveryCallEnd::idle_closed : DiscoveryCallEnd::connection_broken);
   }
-  const bool is_sending = is_call_in_progress_ && sent_ < request_.size();
+  const bool is_sending = is_call_in_progress_ && !is_request_delayed_ && sent_ < request_.size();
   loop_.update_interest(socket_watch_, is_sending ? POLLIN | POLLOUT : POLLIN);
   receive_answer();
 }
 
 // Returns false if the connection is broken.
 bool DiscoveryConnection::send_request() {
-  if (!is_call_in_progress_ || sent_ >= request_.size()) {
+  if (!is_call_in_progress_ || is_request_delayed_ || sent_ >= request_.size()) {
     return true;
   }
   const auto sent = socket_.send(request_.data() + sent_, request_.size() - sent_);
@@ -122,7 +150,7 @@
   if (answer.state == HttpResponse::State::malformed || answer.status != kHttpOk) {
     spdlog::warn("endpoint_list_refused http={} status={}", answer.state != HttpResponse::State::malformed,
                  answer.status);
-    return end_call(DiscoveryCallEnd::refused);
+    return end_call(end_of_refused_call(answer));
   }
   is_call_in_progress_ = false;
   if (answer.closes_connection || closed) {
--- a/src/node/discovery_connection.h
+++ b/src/node/discovery_connection.h
@@ -14,7 +14,9 @@
   connection_broken,  ///< refused, reset or closed
   idle_closed,    ///< the connection had served an earlier call; discovery may have closed it before this one
   local_failure,  ///< the connection could not be made because of a fault of this machine
-  refused         ///< answered with another status than 200, or with no HTTP response
+  overloaded,     ///< answered that the service cannot take the call now
+  refused,        ///< answered with another status than 200, or with no usable response
+  overdue         ///< not answered in time; the call stays open beside the next one
 };
 
 /// The name of an end for logs, for example "refused".
@@ -45,7 +47,9 @@
   /// Starts a call, on the open connection if there is one.
   /// @param address of the service, "a.b.c.d:port".
   /// @param target path and query.
-  void call(const std::string& address, const std::string& target);
+  /// @param request_delay from the establishment of a new connection until the request is sent. A reset in
+  /// between does not concern the request.
+  void call(const std::string& address, const std::string& target, Duration request_delay);
   /// Starts the call in progress once more, on a new connection.
   void repeat_call();
   /// Gives up the call in progress, if there is one, and closes the connection.
@@ -53,11 +57,14 @@
 
   /// Whether bytes of an answer to the latest call have been received.
   [[nodiscard]] bool has_received() const { return !received_.empty(); }
+  /// Whether the request of the latest call has been sent whole.
+  [[nodiscard]] bool has_sent_request() const { return is_connected_ && sent_ == request_.size(); }
   /// Whether the connection is established.
   [[nodiscard]] bool is_connected() const { return is_connected_; }
 
  private:
   void connect();
+  void on_connected();
   void on_ready();
   bool send_request();
   void receive_answer();
@@ -69,6 +76,9 @@
   Socket socket_;
   Handle socket_watch_;
   EventLoop::Deadline failure_deadline_;  // reports a failure to connect
+  EventLoop::Deadline request_deadline_;  // sends a delayed request
+  Duration request_delay_ = 0;
+  bool is_request_delayed_ = false;  // until `request_deadline_`
   bool is_connected_ = false;
   bool is_call_in_progress_ = false;
   bool is_reused_ = false;  // the connection has served an earlier call
--- a/src/node/endpoint_discovery.cpp
+++ b/src/node/endpoint_discovery.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/platform_settings.h"
+#include "node/discovery_call_failure.h"
 #include "policy/backoff.h"
 
 using nlohmann::json;
@@ -31,10 +32,13 @@
 // Discovery answers or refuses a call within 3 s; a watch within 3 s after `kWatchWait`. The rest is for the
 // way of the answer.
 constexpr Duration kMaxAnswerTime = 3250 * kMs;
-// A call that fails within this time has failed at once.
-constexpr Duration kImmediateFailure = 100 * kMs;
+// An idle connection that ends later than this during a watch was closed by a discovery that had the call.
+constexpr Duration kIdleClosedWithin = 100 * kMs;
 // A call that has not failed within this time is expected to be answered.
 constexpr Duration kPendingCallDelay = 50 * kMs;
+// From the establishment of a connection until the request is sent, after a connection that was reset at
+// once. A service that resets all connections does so in this time.
+constexpr Duration kRequestDelay = 50 * kMs;
 // Before the next call after an unchanged list; short enough that discovery does not end the watch.
 constexpr Duration kUnchangedListDelay = 100 * kMs;
 constexpr Duration kRetryDelay = 200 * kMs;  // the longest delay between retries before `deemed_notified_at_`
@@ -178,9 +182,13 @@
   }
   // A watch is answered only when the list changes, so it would not show that the list is current.
   const bool is_update = freshness_.state() != ListFreshness::current || is_watch_overdue_;
-  const Duration wait = is_update ? 0 : kWatchWait;
-  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / kMs),
-       is_update ? CallKind::update : CallKind::watch);
+  const CallKind kind = is_update ? CallKind::update : CallKind::watch;
+  call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait_of(kind) / kMs),
+       kind);
+}
+
+Duration EndpointDiscovery::wait_of(CallKind kind) {
+  return kind == CallKind::watch ? kWatchWait : 0;
 }
 
 Duration EndpointDiscovery::overdue_after(CallKind kind) {
@@ -196,7 +204,7 @@
 }
 
 Duration EndpointDiscovery::max_answer_time(CallKind kind) {
-  return kind == CallKind::watch ? kWatchWait + kMaxAnswerTime : kMaxAnswerTime;
+  return wait_of(kind) + kMaxAnswerTime;
 }
 
 // Until when discovery may answer the earliest call that it has received; nothing if there is none, or if it
@@ -212,6 +220,7 @@
 void EndpointDiscovery::call(const std::string& target, CallKind kind) {
   call_.kind = kind;
   call_.started_at = loop_.now();
+  call_.request_delay = delays_request_ ? kRequestDelay : 0;
   call_.is_in_progress = true;
   ++counters_.endpoint_list_calls;
   spdlog::debug("endpoint_list_called target={}", target);
@@ -224,7 +233,7 @@
     DiscoveryConnectionOwner& owner = *this;
     call_.connection = std::make_unique<DiscoveryConnection>(loop_, limits_, owner);
   }
-  call_.connection->call(address_, target);
+  call_.connection->call(address_, target, call_.request_delay);
 }
 
 void EndpointDiscovery::on_call_overdue() {
@@ -235,7 +244,7 @@
     freshness_.record_notification(*deemed_notified_at_);
   }
   keep_overdue_call();
-  end_call("overdue", ListCallFailure::unanswered);
+  end_call(DiscoveryCallEnd::overdue);
 }
 
 // The call stays open beside the next one. An earlier overdue call is given up for it.
@@ -245,6 +254,7 @@
   call_.started_at = overdue_call_.started_at;
   loop_.schedule(overdue_deadline_, overdue_call_.started_at + max_answer_time(overdue_call_.kind), [this] {
     is_silent_ = true;
+    freshness_.record_call_failure(loop_.now(), overdue_call_.started_at, ListCallFailure::unanswered);
     drop_overdue_call("unanswered");
     update_freshness();
   });
@@ -281,6 +291,7 @@
   loop_.cancel(pending_call_deadline_);
   call_.is_in_progress = false;
   is_silent_ = false;
+  delays_request_ = false;
   use_list(list);
 }
 
@@ -318,32 +329,39 @@
 
 void EndpointDiscovery::on_call_ended(DiscoveryConnection& connection, DiscoveryCallEnd end) {
   if (is_overdue(connection)) {
+    record_failure(overdue_call_, end);
     drop_overdue_call(name_of(end));
     return update_freshness();
   }
   if (end == DiscoveryCallEnd::idle_closed) {
     return repeat_on_new_connection();
   }
-  const ListCallFailure failure = call_failure(end);
+  record_failure(call_, end);
   close();
-  end_call(name_of(end), failure);
+  end_call(end);
 }
 
-ListCallFailure EndpointDiscovery::call_failure(DiscoveryCallEnd end) const {
-  const bool is_immediate = loop_.now() - call_.started_at < kImmediateFailure;
-  if (end == DiscoveryCallEnd::local_failure || !is_immediate) {
-    return ListCallFailure::unanswered;
+void EndpointDiscovery::record_failure(const Call& call, DiscoveryCallEnd end) {
+  const FailedDiscoveryCall failed_call{.end = end,
+                                        .has_sent_request = call.connection->has_sent_request(),
+                                        .has_received = call.connection->has_received(),
+                                        .duration = loop_.now() - call.started_at,
+                                        .wait = wait_of(call.kind),
+                                        .request_delay = call.request_delay};
+  const ListCallFailure failure = classify_call_failure(failed_call);
+  delays_request_ = delays_request_ || needs_delayed_request(failed_call);
+  if (failure == ListCallFailure::rejected || failure == ListCallFailure::rejected_late) {
+    is_silent_ = false;
   }
-  return call_.connection->has_received() ? ListCallFailure::overloaded : ListCallFailure::unavailable;
+  freshness_.record_call_failure(loop_.now(), call.started_at, failure);
 }
 
-void EndpointDiscovery::end_call(const char* reason, ListCallFailure failure) {
+void EndpointDiscovery::end_call(DiscoveryCallEnd end) {
   spdlog::warn("endpoint_list_call_lost duration_ms={} reason={}", (loop_.now() - call_.started_at) / kMs,
-               reason);
+               name_of(end));
   loop_.cancel(deadline_);
   loop_.cancel(pending_call_deadline_);
   ++counters_.endpoint_list_calls_lost;
-  freshness_.record_call_failure(loop_.now(), failure);
   update_freshness();
   // The call is repeated until this node is deemed notified of the changes that it may have missed, because
   // until then the node may send to a draining endpoint. The first repeat after an overdue watch is
@@ -364,7 +382,7 @@
 // Discovery may have closed the idle connection before it received the call. If it has held a watch open and
 // then closed it, changes since then would be missed.
 void EndpointDiscovery::repeat_on_new_connection() {
-  if (call_.kind != CallKind::watch || loop_.now() - call_.started_at < kImmediateFailure) {
+  if (call_.kind != CallKind::watch || loop_.now() - call_.started_at < kIdleClosedWithin) {
     return call_.connection->repeat_call();
   }
   close();
--- a/src/node/endpoint_discovery.h
+++ b/src/node/endpoint_discovery.h
@@ -95,6 +95,7 @@
     std::unique_ptr<DiscoveryConnection> connection;
     CallKind kind = CallKind::fetch;
     TimePoint started_at = 0;
+    Duration request_delay = 0;
     bool is_in_progress = false;
   };
   void on_call_answered(DiscoveryConnection& connection, const std::string& body) override;
@@ -108,11 +109,12 @@
   [[nodiscard]] static Duration overdue_after(CallKind kind);
   [[nodiscard]] static Duration max_answer_time(CallKind kind);
   [[nodiscard]] std::optional<TimePoint> answer_due() const;
-  [[nodiscard]] ListCallFailure call_failure(DiscoveryCallEnd end) const;
+  [[nodiscard]] static Duration wait_of(CallKind kind);
+  void record_failure(const Call& call, DiscoveryCallEnd end);
   void update_freshness();
   void call_next();
   void use_list(const EndpointSnapshot& list);
-  void end_call(const char* reason, ListCallFailure failure);
+  void end_call(DiscoveryCallEnd end);
   void repeat_on_new_connection();
   void close();
 
@@ -138,6 +140,9 @@
   bool is_silent_ = false;  // a call has not been answered in its time, and no list has been received since
   bool is_watch_overdue_ = false;   // a watch has become overdue, and no list has been received since
   bool retry_immediately_ = false;  // the call that failed last was a watch that became overdue
+  // A connection was reset so soon that it is not known whether it was because of the request, and no list
+  // has been received since.
+  bool delays_request_ = false;
   // When this node is deemed notified of changes that it may have missed; empty if it has missed none.
   std::optional<TimePoint> deemed_notified_at_;
   EventLoop::Deadline deadline_;          // of the latest call, or the start of the next one
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,8 +69,11 @@
   apply_endpoint_list(cached_list);
   events_.add(EndpointsCached{.endpoints = cached_list.entries});
   discovery_.start();
-  // The node is ready for clients when it has an endpoint list to decide by.
+  // The node is ready for clients when it has an endpoint list to decide by. A discovery that turns all calls
+  // away does not delay that without end: new work waits longer than the node's readiness.
   requests_.set_answers_pings(discovery_.freshness().state() != ListFreshness::awaiting);
+  loop_.schedule(ready_deadline_, loop_.now() + EndpointListFreshness::kMaxAwaitTimeForAnswer,
+                 [this] { requests_.set_answers_pings(true); });
   process_events();
   schedule_watch();
   run_periodic_tasks();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -94,6 +94,7 @@
   int consecutive_watch_failures_ = 0;
   TimePoint last_periodic_run_at_ = 0;
   EventLoop::Deadline periodic_deadline_;
+  EventLoop::Deadline ready_deadline_;  // the node answers PING from then on at the latest
   EventLoop::Deadline watch_deadline_;
   EventLoop::Deadline close_requests_deadline_;
 };
--- a/tests/policy/endpoint_list_freshness_test.cpp
+++ b/tests/policy/endpoint_list_freshness_test.cpp
@@ -19,11 +19,11 @@
   const Settings pushed = settings(false);
   EndpointListFreshness freshness(pushed);
   freshness.record_start(0);
-  freshness.record_call_failure(kSecond, ListCallFailure::unavailable);
+  freshness.record_call_failure(kSecond, kSecond, ListCallFailure::unavailable);
   EXPECT_EQ(freshness.state(), ListFreshness::unconfirmed);
   EXPECT_EQ(freshness.possible_start_at(), kSecond);
   freshness.record_call_pending(5 * kSecond);
-  freshness.record_call_failure(6 * kSecond, ListCallFailure::unanswered);
+  freshness.record_call_failure(6 * kSecond, 6 * kSecond, ListCallFailure::unanswered);
   EXPECT_EQ(freshness.state(), ListFreshness::awaiting) << "the service may be up again";
   EXPECT_EQ(freshness.next_change_at(), 7 * kSecond) << "1 of 3 s has been used";
   freshness.advance(7 * kSecond);
@@ -62,12 +62,12 @@
   EndpointListFreshness freshness(polled);
   freshness.record_start(0);
   freshness.record_watch_lost(kSecond);
-  freshness.record_call_failure(2 * kSecond, ListCallFailure::unanswered);
+  freshness.record_call_failure(2 * kSecond, 2 * kSecond, ListCallFailure::unanswered);
   EXPECT_EQ(freshness.next_change_at(), kNever) << "the service may be down";
-  freshness.record_call_failure(2 * kSecond, ListCallFailure::overloaded);
-  freshness.record_call_failure(3 * kSecond, ListCallFailure::unanswered);
+  freshness.record_call_failure(2 * kSecond, 2 * kSecond, ListCallFailure::rejected);
+  freshness.record_call_failure(3 * kSecond, 3 * kSecond, ListCallFailure::unanswered);
   EXPECT_EQ(freshness.next_change_at(), kNever) << "it may have gone down since";
-  freshness.record_call_failure(3 * kSecond, ListCallFailure::overloaded);
+  freshness.record_call_failure(3 * kSecond, 3 * kSecond, ListCallFailure::rejected);
   EXPECT_EQ(freshness.next_change_at(), 9 * kSecond) << "6 s after the service could be reached";
   freshness.record_notification(4 * kSecond);  // a new address of the service
   freshness.advance(4 * kSecond - 1);
