After a call that was turned away the next one asks at once; more forms of the fault in tests

Cause: a watch turned away at the end of its wait of 3 s counted as proof of a running discovery, but a deployment whose discovery has a time limit of 3 s answers so in an outage too, and polling nodes would have held all new work. Such an end now proves nothing where lists are polled; the next call has wait_ms=0 and shows it.

--- a/src/node/discovery_call_failure.cpp
+++ b/src/node/discovery_call_failure.cpp
@@ -11,17 +11,12 @@
   return call.duration < call.request_delay + kImmediateFailure;
 }
 
-// A watch that has been kept for its whole wait was turned away by a running service.
-bool has_waited(const FailedDiscoveryCall& call) {
-  return call.wait > 0 && call.duration >= call.wait;
-}
-
 ListCallFailure classify_unusable_answer(const FailedDiscoveryCall& call) {
   return is_immediate(call) ? ListCallFailure::unusable : ListCallFailure::unanswered;
 }
 
 ListCallFailure classify_rejection(const FailedDiscoveryCall& call) {
-  return is_immediate(call) || has_waited(call) ? ListCallFailure::rejected : ListCallFailure::rejected_late;
+  return is_immediate(call) ? ListCallFailure::rejected : ListCallFailure::rejected_late;
 }
 
 ListCallFailure classify_broken_connection(const FailedDiscoveryCall& call) {
--- a/src/node/discovery_call_failure.h
+++ b/src/node/discovery_call_failure.h
@@ -14,7 +14,6 @@
   bool has_sent_request = false;
   bool has_received = false;   ///< bytes of an answer
   Duration duration = 0;       ///< from the start of the call
-  Duration wait = 0;           ///< that the call asked discovery to wait for a change; 0: none
   Duration request_delay = 0;  ///< from the establishment of the connection until the request was sent
 };
 
--- a/src/node/endpoint_discovery.cpp
+++ b/src/node/endpoint_discovery.cpp
@@ -180,8 +180,9 @@
   if (!is_watching_) {
     return;
   }
-  // A watch is answered only when the list changes, so it would not show that the list is current.
-  const bool is_update = freshness_.state() != ListFreshness::current || is_watch_overdue_;
+  // A watch is answered only when the list changes, so it would not show that the list is current. Nor would
+  // its rejection at the end of its wait show whether discovery is overloaded or down.
+  const bool is_update = freshness_.state() != ListFreshness::current || is_watch_overdue_ || is_turned_away_;
   const CallKind kind = is_update ? CallKind::update : CallKind::watch;
   call("/api/targets?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait_of(kind) / kMs),
        kind);
@@ -291,6 +292,7 @@
   loop_.cancel(pending_call_deadline_);
   call_.is_in_progress = false;
   is_silent_ = false;
+  is_turned_away_ = false;
   delays_request_ = false;
   use_list(list);
 }
@@ -346,12 +348,12 @@
                                         .has_sent_request = call.connection->has_sent_request(),
                                         .has_received = call.connection->has_received(),
                                         .duration = loop_.now() - call.started_at,
-                                        .wait = wait_of(call.kind),
                                         .request_delay = call.request_delay};
   const ListCallFailure failure = classify_call_failure(failed_call);
   delays_request_ = delays_request_ || needs_delayed_request(failed_call);
   if (failure == ListCallFailure::rejected || failure == ListCallFailure::rejected_late) {
     is_silent_ = false;
+    is_turned_away_ = true;
   }
   freshness_.record_call_failure(loop_.now(), call.started_at, failure);
 }
--- a/src/node/endpoint_discovery.h
+++ b/src/node/endpoint_discovery.h
@@ -138,6 +138,7 @@
   Call call_;                        // the latest one
   Call overdue_call_;                // an earlier one that may still be answered; without a connection: none
   bool is_silent_ = false;  // a call has not been answered in its time, and no list has been received since
+  bool is_turned_away_ = false;     // a call has been turned away, and no list has been received since
   bool is_watch_overdue_ = false;   // a watch has become overdue, and no list has been received since
   bool retry_immediately_ = false;  // the call that failed last was a watch that became overdue
   // A connection was reset so soon that it is not known whether it was because of the request, and no list
--- a/src/policy/endpoint_list_freshness.h
+++ b/src/policy/endpoint_list_freshness.h
@@ -25,7 +25,7 @@
 /// How a call to the list service failed, as far as it tells whether the service is running.
 enum class ListCallFailure {
   unavailable,    ///< the connection was refused, or reset before the request: the service is down
-  rejected,       ///< turned away at once, or at the end of a watch: the service is running and overloaded
+  rejected,       ///< turned away at once: the service is running and overloaded
   rejected_late,  ///< turned away during a wait: the service is overloaded, or it has just gone down
   unusable,       ///< answered with something else than a list: the service is running and faulty
   unanswered,     ///< not answered in time: the service is down or hangs
--- a/tests/node/overloaded_discovery_fleet_test.cpp
+++ b/tests/node/overloaded_discovery_fleet_test.cpp
@@ -1,6 +1,6 @@
 // Processes of the node and a discovery that pushes changes and turns all calls away for a while, in which an
 // endpoint drains. Guards against new work at the draining endpoint, whose sum grows with the nodes
-// (review/8).
+// (review/8), and against nodes that serve less than they can while discovery is down.
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -20,6 +20,7 @@
 constexpr Duration kSlack = 50 * kMs;
 constexpr Duration kDeadline = 2 * kSecond;
 constexpr Duration kLineInterval = 500 * kMs;
+constexpr Duration kLateAnswer = 700 * kMs;
 constexpr int kTurnUs = 2000;
 const std::string kBusy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
 
@@ -46,13 +47,21 @@
   }
 }
 
+enum class Trouble {
+  none,
+  answers_503,
+  answers_503_late,
+  resets_requests,
+  resets_connections,  // discovery is down
+  refuses_connections  // the same
+};
+
 // Serves the list of h0 to h3; h0 drains from version 2 on.
 class OverloadedDiscovery {
  public:
   OverloadedDiscovery() : address_(NodeHarness::listen_on_loopback(listener_)) {}
 
-  bool turns_calls_away = false;
-  std::optional<TimePoint> first_rejection_at;
+  std::optional<TimePoint> first_failure_at;  // of a call
   nlohmann::json endpoints = nlohmann::json::array();
   int version = 1;
 
@@ -64,8 +73,21 @@
                           {"instances", has_entries ? endpoints : nlohmann::json::array()}}
         .dump();
   }
+  void begin(Trouble trouble) {
+    trouble_ = trouble;
+    if (trouble == Trouble::refuses_connections) {
+      listener_.close();
+    } else if (!listener_) {
+      EXPECT_FALSE(listen_on(address_, listener_));
+    }
+  }
   void run(TimePoint now) {
-    accept_all(listener_, [&](Socket accepted) { calls_.push_back({Stream(std::move(accepted))}); });
+    if (listener_) {
+      accept_all(listener_, [&](Socket accepted) { calls_.push_back({Stream(std::move(accepted))}); });
+    }
+    if (trouble_ == Trouble::resets_connections || trouble_ == Trouble::refuses_connections) {
+      return reset_all(now);
+    }
     for (Call& call : calls_) {
       call.stream.receive(now);
       if (call.stream.received.find("\r\n\r\n") != std::string::npos) {
@@ -80,13 +102,30 @@
     Stream stream;
     bool is_waiting = false;
   };
-  void answer_if_due(Call& call, TimePoint now) {
-    if (!call.is_waiting && turns_calls_away) {
-      first_rejection_at = first_rejection_at.value_or(now);
-      call.stream.send(kBusy);
-      call.stream.received.clear();
+  void reset_all(TimePoint now) {
+    for (Call& call : calls_) {
+      call.stream.socket.close_with_reset();
+    }
+    first_failure_at = first_failure_at.value_or(now);
+    calls_.clear();
+  }
+  void turn_away(Call& call, TimePoint now) {
+    if (trouble_ == Trouble::answers_503_late && now < call.stream.first_byte_at + kLateAnswer) {
+      return;
+    }
+    first_failure_at = first_failure_at.value_or(now);
+    if (trouble_ == Trouble::resets_requests) {
+      call.stream.socket.close_with_reset();
+      call.stream.ended = true;
       return;
     }
+    call.stream.send(kBusy);
+    call.stream.received.clear();
+  }
+  void answer_if_due(Call& call, TimePoint now) {
+    if (!call.is_waiting && trouble_ != Trouble::none) {
+      return turn_away(call, now);
+    }
     const bool has_changes =
         call.stream.received.find("after=" + std::to_string(version)) == std::string::npos;
     const bool is_watch = call.stream.received.find("wait_ms=3000") != std::string::npos;
@@ -99,6 +138,7 @@
 
   Socket listener_;
   sockaddr_in address_;
+  Trouble trouble_ = Trouble::none;
   std::vector<Call> calls_;
 };
 
@@ -327,21 +367,24 @@
   TimePoint next_client_at_ = 0;
 };
 
-void expect_drain_kept(int nodes) {
-  Fleet fleet(nodes);
+// Lets discovery be in trouble for 5 s, in which an endpoint drains if it is running.
+void play(Fleet& fleet, Trouble trouble, bool has_drain) {
   fleet.wait_until_ready();
   fleet.run_for(kSecond);
-  fleet.discovery.turns_calls_away = true;
-  ASSERT_TRUE(fleet.run_until([&] { return fleet.discovery.first_rejection_at.has_value(); }, 4 * kSecond));
+  fleet.discovery.begin(trouble);
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.discovery.first_failure_at.has_value(); }, 5 * kSecond));
   fleet.run_for(300 * kMs);
-  fleet.drain_first_endpoint();
+  if (has_drain) {
+    fleet.drain_first_endpoint();
+  }
   fleet.run_for(5 * kSecond);
-  fleet.discovery.turns_calls_away = false;
+  fleet.discovery.begin(Trouble::none);
   fleet.run_for(kDeadline + kSecond);
   const int up_before = fleet.outcomes.up;
   fleet.run_for(kSecond);
-  std::printf("%d nodes: %d up, %d rejected, %d lost, %d late at the draining endpoint\n", nodes,
-              fleet.outcomes.up, fleet.outcomes.rejected, fleet.outcomes.lost, fleet.late_requests());
+  std::printf("trouble %d: %d up, %d rejected, %d lost, %d late at the draining endpoint\n",
+              static_cast<int>(trouble), fleet.outcomes.up, fleet.outcomes.rejected, fleet.outcomes.lost,
+              fleet.late_requests());
   EXPECT_EQ(fleet.late_requests(), 0);
   EXPECT_EQ(fleet.outcomes.lost, 0);
   EXPECT_LT(fleet.slowest_line, kSecond) << "lines of standing connections do not wait";
@@ -351,13 +394,34 @@
 }  // namespace
 
 TEST(OverloadedDiscoveryFleet, DrainIsKeptByThreeProcesses) {
-  expect_drain_kept(3);
+  Fleet fleet(3);
+  play(fleet, Trouble::answers_503, true);
 }
 
 TEST(OverloadedDiscoveryFleet, DrainIsKeptByTwelveProcesses) {
-  expect_drain_kept(12);
+  Fleet fleet(12);
+  play(fleet, Trouble::answers_503, true);
 }
 
 TEST(OverloadedDiscoveryFleet, DrainIsKeptByTwentyFourProcesses) {
-  expect_drain_kept(24);
+  Fleet fleet(24);
+  play(fleet, Trouble::answers_503, true);
+}
+
+TEST(OverloadedDiscoveryFleet, DrainIsKeptWhileCallsAreTurnedAwayAfterAWait) {
+  Fleet fleet(12);
+  play(fleet, Trouble::answers_503_late, true);
+}
+
+TEST(OverloadedDiscoveryFleet, DrainIsKeptWhileRequestsAreReset) {
+  Fleet fleet(12);
+  play(fleet, Trouble::resets_requests, true);
+}
+
+TEST(OverloadedDiscoveryFleet, NewWorkIsServedWhileDiscoveryIsDown) {
+  for (const auto trouble : {Trouble::refuses_connections, Trouble::resets_connections}) {
+    Fleet fleet(12);
+    play(fleet, trouble, false);
+    EXPECT_EQ(fleet.outcomes.rejected, 0);
+  }
 }
--- a/tests/policy/outdated_list_property_test.cpp
+++ b/tests/policy/outdated_list_property_test.cpp
@@ -127,12 +127,11 @@
   }
 
   void start_call() {
-    wait_ = freshness_.state() == ListFreshness::current ? kWatchWait : 0;
+    wait_ = freshness_.state() == ListFreshness::current && failures_ == 0 ? kWatchWait : 0;
     call_started_at_ = now_;
     is_calling_ = true;
     is_pending_reported_ = false;
     call_ = result_of_call();
-    call_.failure.wait = wait_;
     call_.failure.request_delay = delays_request_ ? kRequestDelay : 0;
     call_.failure.duration = call_.ends_at - now_;
   }
@@ -295,6 +294,15 @@
   });
 }
 
+// Open, in KNOWN-RED.txt: an outage of a service that is polled looks the same.
+TEST(OutdatedListProperty, NoNewWorkByAListThatLacksAChangeWhileCallsAreTurnedAwayLatePolled) {
+  for_each_case({Answer::late}, 24, [](const Case& test_case, const NodeRun& run) {
+    if (test_case.polled) {
+      EXPECT_LE(run.longest_late, 0) << describe(test_case);
+    }
+  });
+}
+
 TEST(OutdatedListProperty, NewWorkDoesNotWaitWhileTheServiceIsDown) {
   for_each_case({Answer::connection_refused, Answer::connection_reset}, 24,
                 [](const Case& test_case, const NodeRun& run) {
