The property test of outdated lists counts a change as told once, not anew with each failed call

Found on the last reading: the time from which a change counts as told moved on with every failed call, and calls come twice within the grace, so no violation with pushed lists could show. It is fixed by the call that was open at the change now.

--- a/tests/policy/outdated_list_property_test.cpp
+++ b/tests/policy/outdated_list_property_test.cpp
@@ -1,9 +1,6 @@
 // Nodes and a list service that turns calls away, in virtual time, over the combinations of answers, lengths,
 // changes, nodes, lists and fleets of docs/outdated-lists.md. Guards against new work by the list of before
 // while the service is running (review/8), and against waiting while it is down.
-#include <array>
-#include <tuple>
-
 #include "base/random.h"
 #include "node/discovery_call_failure.h"
 #include "policy/backoff.h"
@@ -185,7 +182,9 @@
       next_call_at_ = now_ + (call_.failure.duration < 100 * kMs ? 100 * kMs : 0);
       return;
     }
-    blind_until_ = now_;
+    if (covers_change()) {
+      seen_at_ = now_;
+    }
     delays_request_ = delays_request_ || needs_delayed_request(call_.failure);
     freshness_.record_call_failure(now_, call_started_at_, classify_call_failure(call_.failure));
     if (now_ < deemed_notified_at_) {
@@ -207,8 +206,13 @@
     }
   }
 
-  // When this node counts as told of the change. A call that waits is open until it ends; by docs/
-  // outdated-lists.md what it misses counts from its end.
+  // Whether the latest call began before the change and ended, or ends, after it.
+  [[nodiscard]] bool covers_change() const {
+    return call_started_at_ <= case_.changed_at() && case_.changed_at() < call_.ends_at;
+  }
+
+  // When this node counts as told of the change. By docs/outdated-lists.md what the call misses that was open
+  // at the change counts from the end of that call; later calls postpone nothing.
   [[nodiscard]] TimePoint told_at() const {
     if (case_.is_down()) {
       return case_.trouble_until() + (case_.polled ? 6 * kSecond : 0);
@@ -218,8 +222,8 @@
     }
     const TimePoint reload_due =
         case_.node == NodeKind::reloaded ? kTroubleFrom + kAddressChangeNotification : 0;
-    const TimePoint call_ends_at = is_calling_ ? call_.ends_at : 0;
-    return std::max({case_.changed_at(), started_at_, blind_until_, reload_due, call_ends_at});
+    const TimePoint call_ends_at = is_calling_ && covers_change() ? call_.ends_at : 0;
+    return std::max({case_.changed_at(), started_at_, seen_at_, reload_due, call_ends_at});
   }
 
   Duration random_time(Duration max) {
@@ -245,7 +249,7 @@
   TimePoint next_call_at_ = 0;
   TimePoint deemed_notified_at_ = 0;
   TimePoint started_at_ = 0;
-  TimePoint blind_until_ = 0;  // the end of the last call that failed
+  TimePoint seen_at_ = 0;  // the end of the call that was open at the change, if it failed
 };
 
 std::string describe(const Case& c) {
